--- /dev/null
+++ b/thadmit/scheduler.go
@@ -0,0 +1,343 @@
+package thadmit
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmerichaven/turmerichaven/thclock"
+	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thwire"
+)
+
+// Constants of a Scheduler.
+const (
+	timeGain   = 0.1                    // weight of a new service time in the average
+	timeFirst  = 100 * time.Millisecond // service time of a route without an answer yet
+	timeLeast  = time.Millisecond
+	rateWindow = time.Second // in which a cold server's calls are counted
+	// waitMargin is the part of the time left that waiting and serving may fill:
+	// service times vary, and the answer has to travel back.
+	waitMargin  = 0.8
+	refuseLeast = 50 * time.Millisecond // shortest time after which a refused call may come back
+	refuseMost  = 2 * time.Second
+)
+
+// Scheduler admits calls to a backend server that tells its slots and how many
+// calls a second it bears while it is cold. Calls beyond that wait by priority,
+// in order of arrival among equals. A call is refused at once when it would
+// wait longer than its deadline allows. The zero value refuses everything as
+// Unready until SetServer.
+type Scheduler struct {
+	Clock clockwork.Clock
+
+	mutex   sync.Mutex
+	slots   int
+	active  int
+	closed  therror.Kind // by SetClosed
+	missing bool         // no server
+	known   bool         // SetServer has been called
+	leaving bool
+	cold    time.Time   // until when the server is cold
+	rate    float64     // calls a second while it is cold
+	recent  []time.Time // dispatches to the cold server in the last second
+	queue   []*ticket   // by priority, then arrival
+	times   map[string]time.Duration
+	timer   clockwork.Timer // wakes the queue when a cold server bears the next call
+}
+
+// ticket is a call that waits.
+type ticket struct {
+	route    string
+	priority int
+	deadline time.Time
+	done     chan struct{} // closed when decided
+	err      error         // nil: admitted
+}
+
+// Admission is the place of one call at the backend server.
+type Admission struct {
+	scheduler *Scheduler
+	route     string
+	once      sync.Once
+}
+
+// Enter waits for a place. Errors are of kind Full with the time after which
+// to come back, Leaving, Unready, Late or Cancelled; no place is held then.
+func (s *Scheduler) Enter(ctx context.Context, o *thwire.Open) (*Admission, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, contextError(err)
+	}
+	t, err := s.join(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	if t != nil {
+		select {
+		case <-t.done:
+		case <-ctx.Done():
+			s.abandon(t, contextError(ctx.Err()))
+		}
+		if t.err != nil {
+			return nil, t.err
+		}
+	}
+	return &Admission{scheduler: s, route: o.Route}, nil
+}
+
+// join admits at once (nil, nil), queues, or refuses.
+func (s *Scheduler) join(ctx context.Context, o *thwire.Open) (*ticket, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.refusal(); err != nil {
+		return nil, err
+	}
+	now := thclock.Or(s.Clock).Now()
+	if len(s.queue) == 0 && s.hasPlace(now) {
+		s.admit(now)
+		return nil, nil
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(time.Duration(o.Deadline))
+	}
+	t := &ticket{route: o.Route, priority: o.Priority, deadline: deadline, done: make(chan struct{})}
+	at, _ := slices.BinarySearchFunc(s.queue, t, func(a, b *ticket) int {
+		if a.priority <= b.priority {
+			return -1
+		}
+		return 1
+	})
+	if wait := s.wait(at, now); !s.inTime(t, wait, now) {
+		return nil, s.full(wait)
+	}
+	s.queue = slices.Insert(s.queue, at, t)
+	s.prune(at+1, now)
+	s.grant(now)
+	return t, nil
+}
+
+// inTime reports whether a call that waits this long can be served before its deadline.
+func (s *Scheduler) inTime(t *ticket, wait time.Duration, now time.Time) bool {
+	return float64(wait+s.time(t.route)) <= waitMargin*float64(t.deadline.Sub(now))
+}
+
+// prune refuses those of the queued calls, from a position on, that can no
+// longer be served in time.
+func (s *Scheduler) prune(from int, now time.Time) {
+	for i := from; i < len(s.queue); i++ {
+		t := s.queue[i]
+		wait := s.wait(i, now)
+		if now.Add(wait + s.time(t.route)).Before(t.deadline) {
+			continue
+		}
+		t.err = s.full(wait)
+		close(t.done)
+		s.queue = slices.Delete(s.queue, i, i+1)
+		i--
+	}
+}
+
+// abandon takes a ticket out of the queue; one that was admitted meanwhile
+// gives its place back.
+func (s *Scheduler) abandon(t *ticket, cause error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	select {
+	case <-t.done:
+		if t.err == nil {
+			t.err = cause
+			s.active--
+			s.grant(thclock.Or(s.Clock).Now())
+		}
+		return
+	default:
+	}
+	if i := slices.Index(s.queue, t); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+	}
+	t.err = cause
+	close(t.done)
+}
+
+// time returns the average service time of a route.
+func (s *Scheduler) time(route string) time.Duration {
+	if d := s.times[route]; d > 0 {
+		return d
+	}
+	return timeFirst
+}
+
+// wait returns how long a call at a position of the queue waits for its place.
+func (s *Scheduler) wait(position int, now time.Time) time.Duration {
+	if s.slots == 0 {
+		return 0
+	}
+	var work time.Duration
+	for _, t := range s.queue[:min(position, len(s.queue))] {
+		work += s.time(t.route)
+	}
+	free := s.slots - s.active
+	if position < free && !s.isCold(now) {
+		return 0
+	}
+	// The calls in progress are half done on average.
+	d := (work + s.mean()*time.Duration(s.active)/2) / time.Duration(s.slots)
+	if s.isCold(now) && s.rate > 0 {
+		d = max(d, time.Duration(float64(position+1)/s.rate*float64(time.Second)))
+	}
+	return d
+}
+
+// mean returns the average of the routes' service times.
+func (s *Scheduler) mean() time.Duration {
+	if len(s.times) == 0 {
+		return timeFirst
+	}
+	var sum time.Duration
+	for _, d := range s.times {
+		sum += d
+	}
+	return sum / time.Duration(len(s.times))
+}
+
+func (s *Scheduler) full(wait time.Duration) error {
+	return therror.New(therror.Full, "%d calls active, %d queued, wait %s", s.active, len(s.queue), wait).
+		After(min(max(wait, refuseLeast), refuseMost))
+}
+
+// refusal returns the error for all calls while the gate is closed.
+func (s *Scheduler) refusal() error {
+	switch {
+	case s.closed != "":
+		return therror.New(s.closed, "admission is closed").After(retryLeave)
+	case !s.known || s.missing:
+		return therror.New(therror.Unready, "no backend server").After(retryLeave)
+	case s.leaving:
+		return therror.New(therror.Leaving, "backend server drains").After(retryLeave)
+	}
+	return nil
+}
+
+func (s *Scheduler) isCold(now time.Time) bool { return now.Before(s.cold) }
+
+// hasPlace reports whether the backend server can take a call now.
+func (s *Scheduler) hasPlace(now time.Time) bool {
+	if s.active >= s.slots {
+		return false
+	}
+	if !s.isCold(now) || s.rate <= 0 {
+		return true
+	}
+	s.recent = slices.DeleteFunc(s.recent, func(t time.Time) bool { return now.Sub(t) >= rateWindow })
+	return len(s.recent) < max(1, int(s.rate))
+}
+
+// admit counts a dispatch. Dispatches are counted also while the server is not
+// known to be cold, since it may turn out to have been.
+func (s *Scheduler) admit(now time.Time) {
+	s.active++
+	if s.rate > 0 {
+		keep := max(1, int(s.rate))
+		if len(s.recent) >= keep {
+			s.recent = slices.Delete(s.recent, 0, len(s.recent)-keep+1)
+		}
+		s.recent = append(s.recent, now)
+	}
+}
+
+// grant admits queued calls while there are places.
+func (s *Scheduler) grant(now time.Time) {
+	for len(s.queue) > 0 && s.refusal() == nil && s.hasPlace(now) {
+		t := s.queue[0]
+		s.queue = slices.Delete(s.queue, 0, 1)
+		s.admit(now)
+		close(t.done)
+	}
+	if len(s.queue) > 0 && s.active < s.slots && s.isCold(now) && s.timer == nil && len(s.recent) > 0 {
+		s.timer = thclock.Or(s.Clock).AfterFunc(max(rateWindow-now.Sub(s.recent[0]), time.Millisecond), s.wake)
+	}
+}
+
+func (s *Scheduler) wake() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.timer = nil
+	s.grant(thclock.Or(s.Clock).Now())
+}
+
+// Done ends the call. A latency of zero means that it was not dispatched, or
+// says nothing about the backend server.
+func (a *Admission) Done(latency time.Duration, ok bool) {
+	a.once.Do(func() { a.scheduler.leave(a.route, latency, ok) })
+}
+
+func (s *Scheduler) leave(route string, latency time.Duration, ok bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.active--
+	if latency > 0 && ok {
+		latency = max(latency, timeLeast)
+		if s.times == nil {
+			s.times = map[string]time.Duration{}
+		}
+		if old, found := s.times[route]; found {
+			latency = old + time.Duration(timeGain*float64(latency-old))
+		}
+		s.times[route] = latency
+	}
+	s.grant(thclock.Or(s.Clock).Now())
+}
+
+// SetServer tells which backend server is behind the gate. Rate is how many
+// calls a second it bears until cold; slots of zero mean that there is none.
+func (s *Scheduler) SetServer(slots int, leaving bool, cold time.Time, rate float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.known, s.missing, s.slots, s.leaving, s.cold, s.rate = true, slots == 0, slots, leaving, cold, rate
+	s.flush()
+	s.grant(thclock.Or(s.Clock).Now())
+}
+
+// Restarted forgets what was measured of the former backend server.
+func (s *Scheduler) Restarted() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.recent = nil
+}
+
+// SetClosed refuses all calls with reason, queued ones included; an empty reason opens the gate.
+func (s *Scheduler) SetClosed(reason therror.Kind) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.closed = reason
+	s.flush()
+	s.grant(thclock.Or(s.Clock).Now())
+}
+
+// flush refuses the queued calls of a closed gate.
+func (s *Scheduler) flush() {
+	err := s.refusal()
+	if err == nil {
+		return
+	}
+	for _, t := range s.queue {
+		t.err = err
+		close(t.done)
+	}
+	s.queue = nil
+}
+
+// Load returns what is advertised to callers of a route.
+func (s *Scheduler) Load(route string) thwire.Load {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := thclock.Or(s.Clock).Now()
+	return thwire.Load{
+		Limit: s.slots, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
+		Wait: int64(s.wait(len(s.queue), now)), Time: int64(s.times[route]),
+	}
+}
--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -79,15 +79,13 @@
 	now := thclock.Or(b.Clock).Now()
 	b.keepStates(members)
 	b.keepReturns(tables, now)
-	type key struct{ service, version string }
-	groups := map[key][]*thwire.Member{}
+	groups := map[string][]*thwire.Member{} // by service
 	for i := range members {
 		m := &members[i]
 		if m.Server == nil || m.Server.State == thwire.ServerLeaving || m.State > thwire.MemberSuspect || b.returns[m.Zone].out {
 			continue
 		}
-		k := key{m.Server.Service, m.Server.Version}
-		groups[k] = append(groups[k], m)
+		groups[m.Server.Service] = append(groups[m.Server.Service], m)
 	}
 	v := &view{pools: make(map[string]*pool, len(tables.Pools)), states: make(map[string]*state, len(b.states))}
 	for name, s := range b.states {
@@ -95,7 +93,7 @@
 	}
 	old := b.view.Load()
 	for _, p := range tables.Pools {
-		n := b.build(p, groups[key{p.Service, p.Version}])
+		n := b.build(p, held(p, groups[p.Service]))
 		n.advance(now)
 		if old != nil && n.same(old.pools[p.Name]) {
 			n = old.pools[p.Name]
@@ -106,6 +104,17 @@
 	b.view.Store(v)
 }
 
+// held returns the members whose backend server belongs to the pool.
+func held(p thconfig.Pool, members []*thwire.Member) []*thwire.Member {
+	var list []*thwire.Member
+	for _, m := range members {
+		if p.Holds(m.Server.Service, m.Server.Version) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // same reports whether o can stand for p, so that servers keep their identity.
 func (p *pool) same(o *pool) bool {
 	return o != nil && p.floor == o.floor && slices.EqualFunc(p.servers, o.servers, sameServer)
--- a/thcommand/pool.go
+++ b/thcommand/pool.go
@@ -13,6 +13,8 @@
 	Floor   int    `json:"floor"`
 }
 
+func viewPool(p thconfig.Pool) poolView { return poolView{p.Name, p.Service, p.Version, p.Floor} }
+
 type poolList struct{ session *session }
 
 // Execute lists the pools.
@@ -25,7 +27,7 @@
 	views := make([]poolView, 0, len(t.Pools))
 	rows := make([][]any, 0, len(t.Pools))
 	for _, p := range t.Pools {
-		views = append(views, poolView(p))
+		views = append(views, viewPool(p))
 		rows = append(rows, []any{p.Name, p.Service, p.Version, p.Floor})
 	}
 	return s.show(listing{Version: t.Version, Pools: views}, func() {
--- a/thcommand/table.go
+++ b/thcommand/table.go
@@ -91,10 +91,10 @@
 		v.text = changed(before, thtable.RouteKeys(e.Route))
 		return v
 	case thconfig.SetPool:
-		v := editView{Edit: "set", Type: "pool", Name: e.Pool.Name, New: poolView(e.Pool)}
+		v := editView{Edit: "set", Type: "pool", Name: e.Pool.Name, New: viewPool(e.Pool)}
 		var before []thtable.Pair
 		if old, found := t.Pool(e.Pool.Name); found {
-			v.Old, before = poolView(old), thtable.PoolKeys(old)
+			v.Old, before = viewPool(old), thtable.PoolKeys(old)
 		}
 		v.text = changed(before, thtable.PoolKeys(e.Pool))
 		return v
--- a/thconfig/digest.go
+++ b/thconfig/digest.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"reflect"
 
 	"github.com/turmerichaven/turmerichaven/therror"
 )
@@ -60,7 +61,7 @@
 		}
 	}
 	for _, r := range next.Routes {
-		if o, found := old.Route(r.Name); !found || o != r {
+		if o, found := old.Route(r.Name); !found || !reflect.DeepEqual(o, r) {
 			sets = append(sets, SetRoute{r})
 		}
 	}
--- a/thconfig/schema_gen.go
+++ b/thconfig/schema_gen.go
@@ -416,17 +416,104 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Limits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "header"
+	o = append(o, 0x84, 0xa6, 0x68, 0x65, 0x61, 0x64, 0x65, 0x72)
+	o = msgp.AppendInt(o, z.Header)
+	// string "body"
+	o = append(o, 0xa4, 0x62, 0x6f, 0x64, 0x79)
+	o = msgp.AppendInt64(o, z.Body)
+	// string "wait"
+	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
+	o = msgp.AppendDuration(o, z.Wait)
+	// string "idle"
+	o = append(o, 0xa4, 0x69, 0x64, 0x6c, 0x65)
+	o = msgp.AppendDuration(o, z.Idle)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Limits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "header":
+			z.Header, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Header")
+				return
+			}
+		case "body":
+			z.Body, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "wait":
+			z.Wait, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wait")
+				return
+			}
+		case "idle":
+			z.Idle, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Idle")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Limits) Msgsize() (s int) {
+	s = 1 + 7 + msgp.IntSize + 5 + msgp.Int64Size + 5 + msgp.DurationSize + 5 + msgp.DurationSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Move) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Reason == "" {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Span == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -458,6 +545,11 @@
 			o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
 			o = msgp.AppendString(o, z.Reason)
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "span"
+			o = append(o, 0xa4, 0x73, 0x70, 0x61, 0x6e)
+			o = msgp.AppendDuration(o, z.Span)
+		}
 	}
 	return
 }
@@ -532,6 +624,12 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
+		case "span":
+			z.Span, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Span")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -546,26 +644,109 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Move) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.To) + 6 + msgp.TimeSize + 9 + msgp.TimeSize + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.To) + 6 + msgp.TimeSize + 9 + msgp.TimeSize + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.StringPrefixSize + len(z.Reason) + 5 + msgp.DurationSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Part) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "pool"
+	o = append(o, 0x82, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+	o = msgp.AppendString(o, z.Pool)
+	// string "weight"
+	o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+	o = msgp.AppendInt(o, z.Weight)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Part) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "pool":
+			z.Pool, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pool")
+				return
+			}
+		case "weight":
+			z.Weight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Part) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Pool) + 7 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Pool) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "name"
-	o = append(o, 0x84, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-	o = msgp.AppendString(o, z.Name)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "version"
-	o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, z.Version)
-	// string "floor"
-	o = append(o, 0xa5, 0x66, 0x6c, 0x6f, 0x6f, 0x72)
-	o = msgp.AppendInt(o, z.Floor)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Except == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "name"
+		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Name)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, z.Version)
+		// string "floor"
+		o = append(o, 0xa5, 0x66, 0x6c, 0x6f, 0x6f, 0x72)
+		o = msgp.AppendInt(o, z.Floor)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "except"
+			o = append(o, 0xa6, 0x65, 0x78, 0x63, 0x65, 0x70, 0x74)
+			o = msgp.AppendString(o, z.Except)
+		}
+	}
 	return
 }
 
@@ -615,6 +796,12 @@
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
+		case "except":
+			z.Except, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Except")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -629,7 +816,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pool) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 6 + msgp.IntSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 6 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Except)
 	return
 }
 
@@ -637,8 +824,8 @@
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Host == "" {
 		zb0001Len--
@@ -652,6 +839,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Split == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	if z.Priority == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Target == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Attempts == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -690,6 +893,35 @@
 		// string "retry"
 		o = append(o, 0xa5, 0x72, 0x65, 0x74, 0x72, 0x79)
 		o = msgp.AppendInt(o, z.Retry)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "split"
+			o = append(o, 0xa5, 0x73, 0x70, 0x6c, 0x69, 0x74)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Split)))
+			for za0001 := range z.Split {
+				// map header, size 2
+				// string "pool"
+				o = append(o, 0x82, 0xa4, 0x70, 0x6f, 0x6f, 0x6c)
+				o = msgp.AppendString(o, z.Split[za0001].Pool)
+				// string "weight"
+				o = append(o, 0xa6, 0x77, 0x65, 0x69, 0x67, 0x68, 0x74)
+				o = msgp.AppendInt(o, z.Split[za0001].Weight)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "priority"
+			o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+			o = msgp.AppendInt(o, z.Priority)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "target"
+			o = append(o, 0xa6, 0x74, 0x61, 0x72, 0x67, 0x65, 0x74)
+			o = msgp.AppendDuration(o, z.Target)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "attempts"
+			o = append(o, 0xa8, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
+			o = msgp.AppendInt(o, z.Attempts)
+		}
 	}
 	return
 }
@@ -770,6 +1002,80 @@
 				err = msgp.WrapError(err, "Retry")
 				return
 			}
+		case "split":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Split")
+				return
+			}
+			if zb0002 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Split) >= int(zb0002) {
+				z.Split = (z.Split)[:zb0002]
+			} else {
+				z.Split = make([]Part, zb0002)
+			}
+			for za0001 := range z.Split {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Split", za0001)
+					return
+				}
+				if zb0003 > zb417a25dlimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Split", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "pool":
+						z.Split[za0001].Pool, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Split", za0001, "Pool")
+							return
+						}
+					case "weight":
+						z.Split[za0001].Weight, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Split", za0001, "Weight")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Split", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "target":
+			z.Target, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		case "attempts":
+			z.Attempts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempts")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -784,60 +1090,198 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Route) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Class) + 7 + msgp.StringPrefixSize + len(z.Repeat) + 8 + msgp.DurationSize + 6 + msgp.IntSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.StringPrefixSize + len(z.Host) + 5 + msgp.StringPrefixSize + len(z.Path) + 7 + msgp.StringPrefixSize + len(z.Method) + 5 + msgp.StringPrefixSize + len(z.Pool) + 6 + msgp.StringPrefixSize + len(z.Class) + 7 + msgp.StringPrefixSize + len(z.Repeat) + 8 + msgp.DurationSize + 6 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Split {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.Split[za0001].Pool) + 7 + msgp.IntSize
+	}
+	s += 9 + msgp.IntSize + 7 + msgp.DurationSize + 9 + msgp.IntSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Tables) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Service) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 5
-	// string "version"
-	o = append(o, 0x85, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "routes"
-	o = append(o, 0xa6, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
-	for za0001 := range z.Routes {
-		o, err = z.Routes[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Routes", za0001)
-			return
-		}
+	// string "name"
+	o = append(o, 0x85, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "health"
+	o = append(o, 0xa6, 0x68, 0x65, 0x61, 0x6c, 0x74, 0x68)
+	o = msgp.AppendString(o, z.Health)
+	// string "connections"
+	o = append(o, 0xab, 0x63, 0x6f, 0x6e, 0x6e, 0x65, 0x63, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Connections)
+	// string "cold"
+	o = append(o, 0xa4, 0x63, 0x6f, 0x6c, 0x64)
+	o = msgp.AppendDuration(o, z.Cold)
+	// string "rate"
+	o = append(o, 0xa4, 0x72, 0x61, 0x74, 0x65)
+	o = msgp.AppendFloat64(o, z.Rate)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Service) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
 	}
-	// string "pools"
-	o = append(o, 0xa5, 0x70, 0x6f, 0x6f, 0x6c, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
-	for za0002 := range z.Pools {
-		o, err = z.Pools[za0002].MarshalMsg(o)
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Pools", za0002)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "health":
+			z.Health, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Health")
+				return
+			}
+		case "connections":
+			z.Connections, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Connections")
+				return
+			}
+		case "cold":
+			z.Cold, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Cold")
+				return
+			}
+		case "rate":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "zones"
-	o = append(o, 0xa5, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
-	for za0003 := range z.Zones {
-		// map header, size 3
-		// string "name"
-		o = append(o, 0x83, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
-		o = msgp.AppendString(o, z.Zones[za0003].Name)
-		// string "out"
-		o = append(o, 0xa3, 0x6f, 0x75, 0x74)
-		o = msgp.AppendBool(o, z.Zones[za0003].Out)
-		// string "changed"
-		o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
-		o = msgp.AppendTime(o, z.Zones[za0003].Changed)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Service) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 7 + msgp.StringPrefixSize + len(z.Health) + 12 + msgp.IntSize + 5 + msgp.DurationSize + 5 + msgp.Float64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Tables) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Limits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// string "moves"
-	o = append(o, 0xa5, 0x6d, 0x6f, 0x76, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Moves)))
-	for za0004 := range z.Moves {
-		o, err = z.Moves[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Moves", za0004)
-			return
+	if z.Services == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "version"
+		o = append(o, 0xa7, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "routes"
+		o = append(o, 0xa6, 0x72, 0x6f, 0x75, 0x74, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
+		for za0001 := range z.Routes {
+			o, err = z.Routes[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Routes", za0001)
+				return
+			}
+		}
+		// string "pools"
+		o = append(o, 0xa5, 0x70, 0x6f, 0x6f, 0x6c, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
+		for za0002 := range z.Pools {
+			o, err = z.Pools[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Pools", za0002)
+				return
+			}
+		}
+		// string "zones"
+		o = append(o, 0xa5, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+		for za0003 := range z.Zones {
+			// map header, size 3
+			// string "name"
+			o = append(o, 0x83, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+			o = msgp.AppendString(o, z.Zones[za0003].Name)
+			// string "out"
+			o = append(o, 0xa3, 0x6f, 0x75, 0x74)
+			o = msgp.AppendBool(o, z.Zones[za0003].Out)
+			// string "changed"
+			o = append(o, 0xa7, 0x63, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64)
+			o = msgp.AppendTime(o, z.Zones[za0003].Changed)
+		}
+		// string "moves"
+		o = append(o, 0xa5, 0x6d, 0x6f, 0x76, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Moves)))
+		for za0004 := range z.Moves {
+			o, err = z.Moves[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Moves", za0004)
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "limits"
+			o = append(o, 0xa6, 0x6c, 0x69, 0x6d, 0x69, 0x74, 0x73)
+			if z.Limits == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Limits.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "services"
+			o = append(o, 0xa8, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Services)))
+			for za0005 := range z.Services {
+				o, err = z.Services[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -1002,6 +1446,46 @@
 					return
 				}
 			}
+		case "limits":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Limits = nil
+			} else {
+				if z.Limits == nil {
+					z.Limits = new(Limits)
+				}
+				bts, err = z.Limits.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Limits")
+					return
+				}
+			}
+		case "services":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Services")
+				return
+			}
+			if zb0007 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Services) >= int(zb0007) {
+				z.Services = (z.Services)[:zb0007]
+			} else {
+				z.Services = make([]Service, zb0007)
+			}
+			for za0005 := range z.Services {
+				bts, err = z.Services[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Services", za0005)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1032,6 +1516,16 @@
 	for za0004 := range z.Moves {
 		s += z.Moves[za0004].Msgsize()
 	}
+	s += 7
+	if z.Limits == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Limits.Msgsize()
+	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0005 := range z.Services {
+		s += z.Services[za0005].Msgsize()
+	}
 	return
 }
 
--- a/thdaemon/adapters.go
+++ b/thdaemon/adapters.go
@@ -13,7 +13,6 @@
 	"github.com/turmerichaven/turmerichaven/thmetric"
 	"github.com/turmerichaven/turmerichaven/thproxy"
 	"github.com/turmerichaven/turmerichaven/thstore"
-	"github.com/turmerichaven/turmerichaven/thsync"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -45,7 +44,7 @@
 type gate struct{ *thadmit.Gate }
 
 // Enter waits for admission.
-func (g gate) Enter(ctx context.Context) (thproxy.Pass, error) {
+func (g gate) Enter(ctx context.Context, _ *thwire.Open) (thproxy.Pass, error) {
 	p, err := g.Gate.Enter(ctx)
 	if err != nil {
 		return nil, err
@@ -53,6 +52,9 @@
 	return pass{p}, nil
 }
 
+// Load is the same for all routes.
+func (g gate) Load(string) thwire.Load { return g.Gate.Load() }
+
 type pass struct{ *thadmit.Pass }
 
 // Done ends the call; without latency it was not dispatched.
@@ -130,12 +132,10 @@
 const serverFault therror.Kind = "server"
 
 // router is the request path's view of the snapshot in effect.
-func router(h *thsync.Holder) thproxy.Router {
-	return func() (uint64, func(*http.Request) (*thconfig.Route, bool), bool) {
-		s := h.Current()
-		if s == nil {
-			return 0, nil, false
-		}
-		return s.Tables.Version, s.Router.Match, true
+func (d *Daemon) router() (uint64, func(*http.Request) (*thconfig.Route, bool), bool) {
+	s := d.holder.Current()
+	if s == nil {
+		return 0, nil, false
 	}
+	return s.Tables.Version, s.Router.Match, true
 }
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -49,26 +49,49 @@
 	started  time.Time
 	platform *platform
 	node     *thmember.Node
-	holder   *thsync.Holder
+	holder   versions
 	mover    *thmove.Mover
 	balancer *thbalance.Balancer
-	gate     *thadmit.Gate
-	guard    *thonce.Guard
-	watcher  *thserver.Watcher
-	target   *thproxy.Target
-	ingress  *thproxy.Ingress
-	metrics  *thmetric.Metrics
-	dialer   *thwire.Dialer
-	listener *thwire.Listener
-	announce *announcer
-	servers  []*http.Server
-	calls    *http.Server // ingress
-	sessions sessions
-	updates  updater
-	draining atomic.Bool
-	zoneOut  atomic.Bool
-	failed   chan error
-	work     sync.WaitGroup
+	gate     thproxy.Gate
+	guard    *thonce.Guard // nil without idempotency keys
+	server   backend
+	local    http.Handler // announcements of the backend server
+	// readiness answers on the address of its own, where there is one.
+	readiness http.Handler
+	admin     thadmin.Admin
+	closers   []func() // further parts to stop
+	target    *thproxy.Target
+	ingress   *thproxy.Ingress
+	metrics   *thmetric.Metrics
+	dialer    *thwire.Dialer
+	listener  *thwire.Listener
+	announce  *announcer
+	servers   []*http.Server
+	calls     *http.Server // ingress
+	sessions  sessions
+	updates   updater
+	draining  atomic.Bool
+	zoneOut   atomic.Bool
+	failed    chan error
+	work      sync.WaitGroup
+}
+
+// versions is the part that holds the configuration: a *thsync.Holder or a
+// *thsync.Follower.
+type versions interface {
+	Start(ctx context.Context) error
+	Stop()
+	Current() *thsync.Snapshot
+	Ready() bool
+	Status() thsync.Status
+	Watch(f func(*thsync.Snapshot))
+	Prepare(f func(*thsync.Snapshot))
+}
+
+// backend is the part that knows the backend server beside the daemon.
+type backend interface {
+	Start(ctx context.Context) error
+	Stop()
 }
 
 // Run runs a daemon until ctx ends, then stops it gracefully.
@@ -126,15 +149,16 @@
 		self.Peer = s.Listen.Announce
 	}
 	d.node = &thmember.Node{Member: self, Clock: d.Clock, Log: d.Log.Named("member")}
-	d.holder = &thsync.Holder{Platform: d.platform, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"), Spread: s.Peers.Spread}
-	d.mover = &thmove.Mover{
-		Fleet: fleet{d.node}, Finisher: finisher{d.platform.Store, d.metrics}, Clock: d.Clock, Log: d.Log.Named("move"),
-	}
+	d.admin = thadmin.Admin{Gatherer: d.metrics.Registry(), Ready: d.reasons, Status: d.status, Log: d.Log.Named("admin")}
+	d.mover = &thmove.Mover{Fleet: fleet{d.node}, Clock: d.Clock, Log: d.Log.Named("move")}
 	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock}
-	d.gate = &thadmit.Gate{Clock: d.Clock, Wait: s.Limits.Wait}
-	d.guard = &thonce.Guard{Store: d.platform.Store, Clock: d.Clock, Rate: float64(s.Limits.Claims)}
-	d.watcher = &thserver.Watcher{Clock: d.Clock, Log: d.Log.Named("server"), Own: []netip.Addr{s.Listen.Local.Addr()}}
 	d.buildCalls()
+	if s.Platform.Kind == thsettings.KindRows {
+		d.buildRows()
+	} else {
+		d.buildTables()
+	}
+	d.target.Gate = d.gate
 	d.listener = &thwire.Listener{
 		Address: s.Listen.Peer,
 		Control: func(c net.Conn, h thwire.Hello) { d.node.Serve(c, &h) },
@@ -145,6 +169,35 @@
 	d.connect()
 }
 
+// buildTables builds the parts for a platform of kind tables.
+func (d *Daemon) buildTables() {
+	s := d.Settings
+	holder := &thsync.Holder{Platform: d.platform, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"), Spread: s.Peers.Spread}
+	admit := &thadmit.Gate{Clock: d.Clock, Wait: s.Limits.Wait}
+	watcher := &thserver.Watcher{Clock: d.Clock, Log: d.Log.Named("server"), Own: []netip.Addr{s.Listen.Local.Addr()}}
+	d.holder, d.gate, d.server, d.local = holder, gate{admit}, watcher, watcher
+	d.admin.Poke, d.admin.Offer = holder.Poke, holder.Offer
+	d.mover.Finisher = finisher{d.platform.Store, d.metrics}
+	d.guard = &thonce.Guard{Store: d.platform.Store, Clock: d.Clock, Rate: float64(s.Limits.Claims)}
+	d.target.Guard, d.target.Transport, d.target.Server = d.guard, thproxy.NewTransport(), watcher.Server
+	watcher.Watch(func(s thwire.Server, address netip.AddrPort, gone bool) {
+		if gone {
+			d.Log.Warn("backend server is gone", "address", address)
+			admit.SetServer(nil)
+			d.node.SetServer(nil)
+			return
+		}
+		s.Slots = min(s.Slots, d.Settings.Server.Slots)
+		admit.SetServer(&s)
+		d.node.SetServer(&s)
+	})
+	watcher.WatchHints(func(h thserver.Hint) {
+		if h.HasLoad {
+			admit.Hint(h.Load)
+		}
+	})
+}
+
 // buildCalls builds the parts on the path of a call.
 func (d *Daemon) buildCalls() {
 	d.dialer = &thwire.Dialer{Clock: d.Clock, Hello: func() thwire.Hello {
@@ -155,16 +208,14 @@
 		}
 	}}
 	d.target = &thproxy.Target{
-		Gate: gate{d.gate}, Guard: d.guard, Transport: thproxy.NewTransport(),
-		Server: d.watcher.Server,
 		Closed: func() bool { return d.draining.Load() || d.zoneOut.Load() },
 		Pool:   d.pool,
 		Served: d.mover.Served,
 		Clock:  d.Clock, Log: d.Log.Named("target"),
 	}
 	d.ingress = &thproxy.Ingress{
-		Self: d.Settings.Daemon.Name, Router: router(d.holder), Mover: d.mover,
-		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: d.holder.Ready,
+		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
+		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.holder.Ready() },
 		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"),
 	}
 }
@@ -233,27 +284,11 @@
 		}
 		d.mover.HandleReport(r)
 	})
-	d.watcher.Watch(func(s thwire.Server, address netip.AddrPort, gone bool) {
-		if gone {
-			d.Log.Warn("backend server is gone", "address", address)
-			d.gate.SetServer(nil)
-			d.node.SetServer(nil)
-			return
-		}
-		s.Slots = min(s.Slots, d.Settings.Server.Slots)
-		d.gate.SetServer(&s)
-		d.node.SetServer(&s)
-	})
-	d.watcher.WatchHints(func(h thserver.Hint) {
-		if h.HasLoad {
-			d.gate.Hint(h.Load)
-		}
-	})
 }
 
 func (d *Daemon) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.holder.Start, d.node.Start, d.mover.Start, d.watcher.Start, d.listener.Start, d.serve,
+		d.holder.Start, d.node.Start, d.mover.Start, d.server.Start, d.listener.Start, d.serve,
 	}
 	for _, s := range steps {
 		if err := s(ctx); err != nil {
@@ -272,19 +307,20 @@
 
 // serve opens the HTTP addresses.
 func (d *Daemon) serve(ctx context.Context) error {
-	admin := &thadmin.Admin{
-		Gatherer: d.metrics.Registry(), Ready: d.reasons, Status: d.status,
-		Poke: d.holder.Poke, Offer: d.holder.Offer, Log: d.Log.Named("admin"),
-	}
 	l := d.Settings.Listen
 	var err error
 	if d.calls, err = d.listen(ctx, l.Ingress, d.ingress); err != nil {
 		return err
 	}
-	if _, err = d.listen(ctx, l.Local, d.watcher); err != nil {
+	if _, err = d.listen(ctx, l.Local, d.local); err != nil {
 		return err
 	}
-	_, err = d.listen(ctx, l.Admin, admin.Handler())
+	if l.Ready.IsValid() {
+		if _, err = d.listen(ctx, l.Ready, d.readiness); err != nil {
+			return err
+		}
+	}
+	_, err = d.listen(ctx, l.Admin, d.admin.Handler())
 	return err
 }
 
--- a/thdaemon/platform.go
+++ b/thdaemon/platform.go
@@ -4,6 +4,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	hosted "github.com/turmerichaven/turmerichaven/platform"
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thdynamo"
 	"github.com/turmerichaven/turmerichaven/thplatform"
 	"github.com/turmerichaven/turmerichaven/ths3"
@@ -16,6 +18,7 @@
 	*thstore.Store
 	table   *thplatform.GuardedTable
 	objects *thplatform.GuardedObjects
+	rows    *hosted.Store // nil unless the platform is of kind rows
 }
 
 // OpenStore returns the store that the settings name. It opens no connection:
@@ -29,6 +32,12 @@
 	for _, g := range []*thplatform.Guard{&p.table.Guard, &p.objects.Guard} {
 		g.Clock, g.Log, g.Timeout = clock, log, s.Platform.Timeout
 	}
+	p.Store = &thstore.Store{Table: p.table, Objects: p.objects, Clock: clock, Log: log}
+	if s.Platform.Kind == thsettings.KindRows {
+		p.rows = hosted.Open(s.Platform.Store, thclock.Or(clock).Now)
+		p.table.Table = p.rows
+		return p
+	}
 	p.table.Table = thdynamo.New(thdynamo.Settings{
 		Endpoint: s.Platform.Table, Table: s.Platform.Name, Region: s.Platform.Region,
 		AccessKey: s.Platform.Access, Secret: s.Platform.Secret,
@@ -37,6 +46,5 @@
 		Endpoint: s.Platform.Object, Bucket: s.Platform.Bucket, Region: s.Platform.Region,
 		AccessKey: s.Platform.Access, Secret: s.Platform.Secret,
 	})
-	p.Store = &thstore.Store{Table: p.table, Objects: p.objects, Clock: clock, Log: log}
 	return p
 }
--- /dev/null
+++ b/thdaemon/rows.go
@@ -0,0 +1,107 @@
+package thdaemon
+
+import (
+	"context"
+	"net/netip"
+
+	hosted "github.com/turmerichaven/turmerichaven/platform"
+	"github.com/turmerichaven/turmerichaven/thadmit"
+	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thproxy"
+	"github.com/turmerichaven/turmerichaven/thserver"
+	"github.com/turmerichaven/turmerichaven/thsync"
+	"github.com/turmerichaven/turmerichaven/thwire"
+)
+
+// buildRows builds the parts for a platform of kind rows: operators write the
+// configuration to its store, and the backend server sends heartbeats.
+func (d *Daemon) buildRows() {
+	s := d.Settings
+	follower := &thsync.Follower{
+		Source: &hosted.Operator{Store: d.platform.rows}, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"),
+	}
+	registry := &thserver.Registry{
+		Service: s.Server.Service, Address: s.Server.Address, Clock: d.Clock, Log: d.Log.Named("server"),
+	}
+	scheduler := &thadmit.Scheduler{Clock: d.Clock}
+	direct := &thproxy.Direct{Headers: hosted.Headers(), Clock: d.Clock}
+	d.holder, d.gate, d.server = follower, schedule{scheduler}, idle{}
+	d.local, d.readiness = hosted.Control(registry.Take), hosted.Readiness(d.reasons)
+	d.mover.Finisher = reporter{d.platform.rows}
+	d.target.Headers, d.target.Transport = hosted.Headers(), direct
+	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
+		e := registry.Current()
+		if e == nil {
+			return thwire.Server{}, netip.AddrPort{}, false
+		}
+		return *e.Server(d.Clock.Now()), e.Address, true
+	}
+	d.ingress.Headers, d.ingress.Caller = hosted.Headers(), s.Server.Service
+	d.ingress.Budget = &thproxy.SharedBudget{
+		Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window, Clock: d.Clock,
+		Daemons: func() int { return len(d.node.View().Alive()) },
+	}
+	b := &beside{Daemon: d, registry: registry, scheduler: scheduler}
+	registry.Watch(b.changed)
+	d.closers = append(d.closers, direct.CloseIdle)
+}
+
+// beside tells the other parts of the backend server beside the daemon.
+type beside struct {
+	*Daemon
+
+	registry  *thserver.Registry
+	scheduler *thadmit.Scheduler
+	instance  string
+}
+
+func (b *beside) changed(e *thserver.Entry) {
+	if e.Instance != b.instance {
+		b.instance = e.Instance
+		b.scheduler.Restarted()
+	}
+	rate := 0.0
+	if s := b.holder.Current(); s != nil {
+		service, _ := s.Tables.Service(e.Service)
+		rate = service.Rate
+	}
+	server := e.Server(b.Clock.Now())
+	b.scheduler.SetServer(e.Slots, e.Leaving || e.Gone, e.ColdUntil, rate)
+	if self := b.node.Self(); self.Server == nil || *self.Server != *server {
+		b.node.SetServer(server)
+	}
+}
+
+// idle is a backend part without work of its own.
+type idle struct{}
+
+// Start does nothing.
+func (idle) Start(context.Context) error { return nil }
+
+// Stop does nothing.
+func (idle) Stop() {}
+
+// schedule lets the target use a Scheduler.
+type schedule struct{ *thadmit.Scheduler }
+
+// Enter waits for a place.
+func (s schedule) Enter(ctx context.Context, o *thwire.Open) (thproxy.Pass, error) {
+	a, err := s.Scheduler.Enter(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// reporter writes the end of a move to the store.
+type reporter struct{ store *hosted.Store }
+
+// Finish reports the state of a rollout.
+func (r reporter) Finish(ctx context.Context, move thconfig.Move, state, _ string) error {
+	rollout, ok := thconfig.RolloutOf(move, state)
+	if !ok {
+		return therror.New(therror.Internal, "move %q is no rollout", move.Name)
+	}
+	return r.store.Report(ctx, rollout)
+}
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -32,7 +32,7 @@
 func (d *Daemon) status() thadmin.Status {
 	reasons := d.reasons() // before the version: a ready daemon has one
 	held := d.holder.Status()
-	load := d.gate.Load()
+	load := d.gate.Load("")
 	s := thadmin.Status{
 		Self: thadmin.Self{
 			Name: d.Settings.Daemon.Name, Zone: d.Settings.Daemon.Zone, Region: d.Settings.Daemon.Region,
@@ -165,7 +165,7 @@
 		alarm = held.Alarm
 		d.metrics.Ready(len(d.reasons()) == 0)
 		d.metrics.Breaker(d.platform.table.Stats().Breaker == thplatform.BreakerOpen)
-		load := d.gate.Load()
+		load := d.gate.Load("")
 		d.metrics.Admission(load.Limit, load.Active, load.Queued)
 		i, o := d.node.Bytes()
 		d.metrics.Control(int(i-in), int(o-out))
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -88,7 +88,9 @@
 	if n := d.sessions.active(); n > 0 {
 		d.Log.Warn("calls of other daemons cut at the end of the grace time", "calls", n)
 	}
-	d.guard.Wait()
+	if d.guard != nil {
+		d.guard.Wait()
+	}
 }
 
 // close releases everything; after stop nothing is in progress any more.
@@ -99,7 +101,10 @@
 	d.sessions.close()
 	d.updates.stop()
 	d.dialer.Close()
-	for _, stop := range []func(){d.watcher.Stop, d.mover.Stop, d.holder.Stop, d.listener.Stop, d.node.Stop} {
+	for _, stop := range []func(){d.server.Stop, d.mover.Stop, d.holder.Stop, d.listener.Stop, d.node.Stop} {
+		stop()
+	}
+	for _, stop := range d.closers {
 		stop()
 	}
 	if d.announce.done != nil {
--- a/therror/kind.go
+++ b/therror/kind.go
@@ -17,6 +17,7 @@
 	Refused   Kind = "refused"   // the result would be invalid
 	Limited   Kind = "limited"   // rate limit or retry budget
 	Full      Kind = "full"      // admission refused the call
+	Shed      Kind = "shed"      // the backend server rejected the call without running it
 	Leaving   Kind = "leaving"   // the target drains or its zone is out
 	Unready   Kind = "unready"   // no configuration or no backend server
 	Down      Kind = "down"      // platform or peer unreachable, nothing was sent
@@ -57,6 +58,7 @@
 	Refused:   {Status: http.StatusUnprocessableEntity, Exit: 3, NotRun: true},
 	Limited:   {Status: http.StatusTooManyRequests, Exit: 6, Again: true, NotRun: true},
 	Full:      {Status: http.StatusServiceUnavailable, Exit: 6, Again: true, NotRun: true},
+	Shed:      {Status: http.StatusServiceUnavailable, Exit: 6, Again: true, NotRun: true},
 	Leaving:   {Status: http.StatusServiceUnavailable, Exit: 6, Again: true, NotRun: true},
 	Unready:   {Status: http.StatusServiceUnavailable, Exit: 6, Again: true, NotRun: true},
 	Down:      {Status: http.StatusServiceUnavailable, Exit: 6, Again: true, NotRun: true},
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -62,7 +62,8 @@
 
 // view is what the request path reads.
 type view struct {
-	byRoute  map[string]*track
+	byRoute  map[string]*track // by the move's key
+	byPool   map[string]*track // of moves without a route
 	byMove   map[string]*track
 	excluded map[string]bool   // backend servers that give no evidence
 	zones    map[string]string // availability zone by server
@@ -125,6 +126,7 @@
 	old := m.view.Load()
 	next := &view{
 		byRoute:  map[string]*track{},
+		byPool:   map[string]*track{},
 		byMove:   map[string]*track{},
 		excluded: map[string]bool{},
 		zones:    map[string]string{},
@@ -142,8 +144,14 @@
 		}
 		if t == nil {
 			t = &track{move: move, stepSince: now}
+			if move.Span > 0 {
+				t.move.Start, t.move.Deadline = now, now.Add(move.Span)
+			}
+		}
+		next.byRoute[move.Key()] = t
+		if move.Route == "" {
+			next.byPool[move.From], next.byPool[move.To] = t, t
 		}
-		next.byRoute[move.Route] = t
 		next.byMove[move.Name] = t
 		to := countServers(tables, move.To, members)
 		next.empty[move.Name] = to == 0
@@ -168,7 +176,7 @@
 	n := 0
 	for _, m := range members {
 		s := m.Server
-		if m.State == thwire.MemberAlive && s != nil && s.Service == p.Service && s.Version == p.Version {
+		if m.State == thwire.MemberAlive && s != nil && p.Holds(s.Service, s.Version) {
 			n++
 		}
 	}
@@ -189,6 +197,11 @@
 	return t.move.Name, t.move.To, t.share(thclock.Or(m.Clock).Now()), true
 }
 
+// SharePool returns the same as Share for the move of a pool.
+func (m *Mover) SharePool(pool string) (move, to string, share float64, running bool) {
+	return m.Share(thconfig.PoolKey(pool))
+}
+
 // Observe counts the outcome of a call of a moving route as its ingress saw it.
 // This evidence serves this daemon only. An empty kind means that the backend
 // server answered with status.
@@ -217,6 +230,9 @@
 		return
 	}
 	t := v.byRoute[route]
+	if t == nil {
+		t = v.byPool[pool]
+	}
 	if t == nil {
 		return
 	}
--- a/thproxy/again_test.go
+++ b/thproxy/again_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thwire"
+
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
@@ -20,11 +22,11 @@
 	entered atomic.Int32
 }
 
-func (g *fullOnce) Enter(ctx context.Context) (Pass, error) {
+func (g *fullOnce) Enter(ctx context.Context, o *thwire.Open) (Pass, error) {
 	if g.entered.Add(1) == 1 {
 		return nil, therror.New(therror.Full, "no place")
 	}
-	return g.fakeGate.Enter(ctx)
+	return g.fakeGate.Enter(ctx, o)
 }
 
 // Guards against a safe call whose last attempt goes at once to a server that
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -123,6 +123,9 @@
 	}
 	budget := c.budgets.of(c.route.Name)
 	budget.first(c.route.Retry)
+	if c.Budget != nil {
+		c.Budget.First(c.pool)
+	}
 	for {
 		c.attempts++
 		err := c.attempt()
@@ -134,14 +137,14 @@
 		}
 		if therror.IsNotRun(err) {
 			// The old version of a move takes what the new one refuses.
-			c.open.Pool = c.route.Pool
+			c.open.Pool = c.pool
 		} else {
 			c.unknown = err
 		}
 		if c.Log != nil && c.Log.IsDebug() {
 			c.Log.Debug("attempt failed", "route", c.route.Name, "server", c.server, "attempt", c.attempts, "kind", therror.KindOf(err), "error", err)
 		}
-		if !c.mayRetry(err) || !budget.retry(c.route.Retry, c.Clock) {
+		if !c.mayRetry(err) || !c.afford(budget) {
 			if c.unknown != nil {
 				return c.unknown
 			}
@@ -150,14 +153,30 @@
 	}
 }
 
+// afford takes a further attempt out of the budget. With a Budget, one that is
+// the first to reach a backend server is free.
+func (c *call) afford(b *budget) bool {
+	switch {
+	case c.Budget == nil:
+		return b.retry(c.route.Retry, c.Clock)
+	case c.reached == 0:
+		return true
+	}
+	c.open.Again = true
+	return c.Budget.Repeat(c.pool, c.route.Priority)
+}
+
 // mayRetry reports whether another attempt is allowed after err.
 func (c *call) mayRetry(err error) bool {
 	if c.attempts >= maxAttempts || c.ctx.Err() != nil || !c.body.repeatable() {
 		return false
 	}
+	if c.route.Attempts > 0 && c.reached >= c.route.Attempts {
+		return false
+	}
 	// The caller's own daemon already repeats the outer call.
 	if c.open.Depth > 0 {
-		if n, err := number(c.request.Header, HeaderAttempt, 1); err != nil || n > 1 {
+		if n, err := number(c.request.Header, headersOr(c.Headers).Attempt, 1); err != nil || n > 1 {
 			return false
 		}
 	}
@@ -172,9 +191,9 @@
 func (c *call) choose() (Choice, error) {
 	for {
 		choice, err := c.Balancer.Choose(c.open.Pool, c.exclude)
-		if err != nil && c.open.Pool != c.route.Pool {
+		if err != nil && c.open.Pool != c.pool {
 			// The new version of a move has no server: use the old one.
-			c.open.Pool = c.route.Pool
+			c.open.Pool = c.pool
 			continue
 		}
 		if err != nil {
@@ -211,6 +230,9 @@
 		c.observe(m.Name, result)
 	}()
 	err = c.dispatch(m, start, &result)
+	if !therror.IsNotRun(err) || therror.Is(err, therror.Shed) {
+		c.reached++
+	}
 	result.Kind, result.Retry = therror.KindOf(err), therror.RetryAfter(err)
 	if err != nil {
 		c.exclude = append(c.exclude, m.Name)
@@ -229,7 +251,16 @@
 	if d, ok := c.ctx.Deadline(); ok {
 		o.Deadline = max(int64(time.Until(d)), 1)
 	}
-	o.Header = append(o.Header[:c.plain:c.plain], thwire.Header{Name: HeaderAttempt, Value: strconv.Itoa(c.attempts)})
+	o.Header = o.Header[:c.plain:c.plain]
+	if name := headersOr(c.Headers).Attempt; name != "" {
+		o.Header = append(o.Header, thwire.Header{Name: name, Value: strconv.Itoa(c.attempts)})
+	}
+	if o.Goal > 0 {
+		o.Goal = max(o.Goal-int64(c.now().Sub(c.start)), 1)
+	}
+	if m.Server != nil {
+		o.Instance = m.Server.Instance
+	}
 	if c.Local != nil && m.Name == c.Self {
 		return c.runLocal(o, result)
 	}
--- /dev/null
+++ b/thproxy/direct.go
@@ -0,0 +1,356 @@
+package thproxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmerichaven/turmerichaven/thclock"
+	"github.com/turmerichaven/turmerichaven/therror"
+)
+
+// Limits of a Direct transport.
+const (
+	directBuffer = 8 << 10 // bytes read at once
+	// inlineBody is the largest request body that is sent in one write with its
+	// head; a longer one is sent beside the reading of the answer, which may come early.
+	inlineBody   = 16 << 10
+	strayMax     = 1 << 20         // bytes of an answer to another request that are skipped
+	keepDefault  = 4 * time.Second // idle time of a connection whose server names no timeout
+	keepMargin   = time.Second     // a connection is not used this close to the server's timeout
+	directSilent = 5 * time.Second // keep-alive probes on a connection without answers
+)
+
+// Direct is the transport to the backend server of a daemon on which several
+// answers may arrive for one request, or an answer that belongs to an earlier
+// one: it takes the answer that repeats the id of the request, and never sends
+// a request twice. It uses no goroutine for an idle connection. An error of a
+// kind that is not run proves that nothing was sent.
+type Direct struct {
+	Headers *Headers // Request names the header with the id; no check without a name
+	Clock   clockwork.Clock
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
+
+	mutex sync.Mutex
+	idle  []*directConn // latest use last
+}
+
+// directConn is a connection with at most one request.
+type directConn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	until   time.Time // not used again from then on
+	stray   bool      // carried an answer to another request
+}
+
+// RoundTrip sends one request. The answer's body must be closed.
+func (d *Direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx := r.Context()
+	c, err := d.get(ctx, r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	x := &exchange{conn: c, owner: d, stop: stop}
+	if err := x.send(r); err != nil {
+		x.drop()
+		return nil, err
+	}
+	response, err := x.receive(r, headersOr(d.Headers).Request)
+	if err != nil {
+		x.drop()
+		return nil, err
+	}
+	x.body, x.left = response.Body, response.ContentLength
+	x.keep = !response.Close && !c.stray
+	if keep, ok := keepAlive(response.Header); ok {
+		c.until = thclock.Or(d.Clock).Now().Add(keep)
+	} else {
+		c.until = thclock.Or(d.Clock).Now().Add(keepDefault)
+	}
+	response.Body = x
+	if response.ContentLength == 0 || response.Body == http.NoBody {
+		x.finish()
+	}
+	return response, nil
+}
+
+// get returns an idle connection that has neither ended nor received anything, or a new one.
+func (d *Direct) get(ctx context.Context, address string) (*directConn, error) {
+	now := thclock.Or(d.Clock).Now()
+	for {
+		d.mutex.Lock()
+		n := len(d.idle)
+		if n == 0 {
+			d.mutex.Unlock()
+			break
+		}
+		c := d.idle[n-1]
+		d.idle = d.idle[:n-1]
+		d.mutex.Unlock()
+		if c.address == address && now.Before(c.until) && c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	dial := d.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: connectTimeout, KeepAlive: directSilent}).DialContext
+	}
+	c, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, therror.Wrap(therror.Unready, err, "connect to the backend server")
+	}
+	return &directConn{Conn: c, address: address, reader: bufio.NewReaderSize(c, directBuffer)}, nil
+}
+
+// put keeps a connection for further requests. Those that have been idle too
+// long are closed here: the server closes them about now.
+func (d *Direct) put(c *directConn) {
+	now := thclock.Or(d.Clock).Now()
+	d.mutex.Lock()
+	var old []*directConn
+	for len(d.idle) > 0 && !now.Before(d.idle[0].until) {
+		old = append(old, d.idle[0])
+		d.idle = d.idle[1:]
+	}
+	d.idle = append(d.idle, c)
+	d.mutex.Unlock()
+	for _, o := range old {
+		_ = o.Close()
+	}
+}
+
+// CloseIdle closes the idle connections.
+func (d *Direct) CloseIdle() {
+	d.mutex.Lock()
+	idle := d.idle
+	d.idle = nil
+	d.mutex.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// quiet reports whether nothing has arrived on an idle connection, its end included.
+func (c *directConn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepAlive returns how long a connection may be used after an answer.
+func keepAlive(h http.Header) (time.Duration, bool) {
+	for _, v := range h["Keep-Alive"] {
+		for p := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(p), "=")
+			n, err := strconv.Atoi(value)
+			if !strings.EqualFold(name, "timeout") || err != nil || n < 0 {
+				continue
+			}
+			keep := time.Duration(n) * time.Second
+			return max(keep-keepMargin, keep/2), true
+		}
+	}
+	return 0, false
+}
+
+// exchange is one request and its answer on a connection. It is the answer's body.
+type exchange struct {
+	conn  *directConn
+	owner *Direct
+	stop  func() bool
+	body  io.ReadCloser
+	left  int64 // bytes of the answer that are still to be read; negative if unknown
+	keep  bool  // the server keeps the connection
+	done  bool
+	sent  chan error // result of a body that is sent beside the answer; nil without one
+}
+
+// send writes the request. The error is not run when nothing was handed to the connection.
+func (x *exchange) send(r *http.Request) error {
+	var b bytes.Buffer
+	writeHead(&b, r)
+	switch {
+	case r.Body == nil || r.ContentLength == 0:
+	case r.ContentLength > 0 && r.ContentLength <= inlineBody:
+		if n, err := io.Copy(&b, io.LimitReader(r.Body, r.ContentLength)); err != nil || n < r.ContentLength {
+			return therror.Wrap(therror.Cancelled, errors.Join(err, io.ErrUnexpectedEOF), "request body cut")
+		}
+	default:
+		if _, err := x.conn.Write(b.Bytes()); err != nil {
+			return err
+		}
+		x.sent = make(chan error, 1)
+		go func() { x.sent <- x.stream(r) }()
+		return nil
+	}
+	_, err := x.conn.Write(b.Bytes())
+	return err
+}
+
+// stream sends a long body. One that ends early breaks the connection, so that
+// the server can't take what follows for the rest.
+func (x *exchange) stream(r *http.Request) error {
+	var err error
+	if r.ContentLength > 0 {
+		var n int64
+		n, err = io.Copy(x.conn, io.LimitReader(r.Body, r.ContentLength))
+		if err == nil && n < r.ContentLength {
+			err = io.ErrUnexpectedEOF
+		}
+	} else {
+		w := httputil.NewChunkedWriter(x.conn)
+		if _, err = io.Copy(w, r.Body); err == nil {
+			err = w.Close()
+		}
+		if err == nil {
+			_, err = io.WriteString(x.conn, "\r\n")
+		}
+	}
+	if err != nil {
+		_ = x.conn.Close()
+	}
+	return err
+}
+
+func writeHead(b *bytes.Buffer, r *http.Request) {
+	target := r.RequestURI // as the caller sent it
+	if target == "" {
+		target = r.URL.RequestURI()
+	}
+	for _, s := range []string{r.Method, " ", target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		b.WriteString(s)
+	}
+	for name, values := range r.Header {
+		if name == "User-Agent" && len(values) == 1 && values[0] == "" {
+			continue
+		}
+		for _, v := range values {
+			for _, s := range []string{name, ": ", v, "\r\n"} {
+				b.WriteString(s)
+			}
+		}
+	}
+	switch {
+	case r.Body != nil && r.ContentLength > 0:
+		b.WriteString("Content-Length: " + strconv.FormatInt(r.ContentLength, 10) + "\r\n")
+	case r.Body != nil && r.ContentLength < 0:
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		b.WriteString("Content-Length: 0\r\n")
+	}
+	b.WriteString("\r\n")
+}
+
+// receive reads answers until one repeats the id of the request.
+func (x *exchange) receive(r *http.Request, name string) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(x.conn.reader, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < 200 {
+			continue
+		}
+		if name == "" || response.Header.Get(name) == r.Header.Get(name) {
+			return response, nil
+		}
+		x.conn.stray = true
+		delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+		if response.Close || !delimited {
+			return nil, therror.New(therror.Broken, "answer to another request, and none to this one")
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, strayMax))
+		if err != nil || n == strayMax {
+			return nil, therror.Wrap(therror.Broken, err, "answer of %d bytes to another request", n)
+		}
+	}
+}
+
+// Read reads the body of the answer.
+func (x *exchange) Read(p []byte) (int, error) {
+	if x.done {
+		return 0, io.EOF
+	}
+	n, err := x.body.Read(p)
+	if x.left > 0 {
+		x.left -= int64(n)
+	}
+	if err == io.EOF {
+		x.finish()
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is closed when a part of the answer
+// is still to come.
+func (x *exchange) Close() error {
+	if x.done {
+		return nil
+	}
+	if x.left > 0 && x.left <= int64(x.conn.reader.Buffered()) {
+		if _, err := io.Copy(io.Discard, x.body); err == nil {
+			x.finish()
+			return nil
+		}
+	}
+	x.drop()
+	return nil
+}
+
+// finish takes the connection back after a whole answer, if it can be used again.
+func (x *exchange) finish() {
+	if x.done {
+		return
+	}
+	if x.sent != nil {
+		select {
+		case err := <-x.sent:
+			x.keep = x.keep && err == nil
+		default:
+			x.keep = false // answered before the request was read
+		}
+	}
+	if !x.keep || x.conn.reader.Buffered() > 0 || !x.stop() {
+		x.drop()
+		return
+	}
+	x.done = true
+	x.owner.put(x.conn)
+}
+
+func (x *exchange) drop() {
+	x.done = true
+	x.stop()
+	_ = x.conn.Close()
+}
--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -35,6 +35,38 @@
 
 const forwardedFor = "X-Forwarded-For"
 
+// Headers names the headers that the proxy reads and sets. One with an empty
+// name is not used. Retry-After is always whole seconds, unless Fractions is set.
+type Headers struct {
+	Request   string // id of a request, which the backend server repeats in its answer
+	Deadline  string // time left to the call, in ms
+	Depth     string // calls above this one
+	Attempt   string // number of the attempt, from 1
+	Outcome   string // on errors of the mesh: OutcomeNotRun or OutcomeUnknown
+	Key       string // idempotency key
+	Forwarded string // addresses of the callers
+	Instance  string // backend server instance that a request is meant for
+	Caller    string // service beside the ingress
+	Rejected  string // set on an answer of a backend server that has not run the request
+	Load      string // on an answer: calls running, calls waiting and slots of the backend server
+	Stamp     string // on every good answer of a backend server
+	Fractions bool   // Retry-After has fractions of a second
+}
+
+// ownHeaders are the names of the product's own interface.
+var ownHeaders = &Headers{
+	Deadline: HeaderDeadline, Depth: HeaderDepth, Attempt: HeaderAttempt, Outcome: HeaderOutcome, Key: HeaderKey,
+	Forwarded: forwardedFor,
+}
+
+// headersOr returns h, or the product's own names for nil.
+func headersOr(h *Headers) *Headers {
+	if h == nil {
+		return ownHeaders
+	}
+	return h
+}
+
 // isHop reports whether a header in canonical form belongs to one connection
 // only (RFC 9110, section 7.6.1). Content-Length is set anew by each hop and
 // Expect is answered by the first.
@@ -74,7 +106,7 @@
 }
 
 // forward returns the headers of a request as they go to the target.
-func forward(r *http.Request) []thwire.Header {
+func (n *Headers) forward(r *http.Request) []thwire.Header {
 	list := flatten(r.Header, 4)
 	if r.ContentLength > 0 {
 		list = append(list, thwire.Header{Name: "Content-Length", Value: strconv.FormatInt(r.ContentLength, 10)})
@@ -83,16 +115,21 @@
 		list = append(list, thwire.Header{Name: "Te", Value: "trailers"})
 	}
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
+	if err != nil || n.Forwarded == "" {
 		return list
 	}
 	for i, h := range slices.Backward(list) { // the last line is the nearest hop
-		if h.Name == forwardedFor {
+		if h.Name == n.Forwarded {
 			list[i].Value += ", " + host
 			return list
 		}
 	}
-	return append(list, thwire.Header{Name: forwardedFor, Value: host})
+	return append(list, thwire.Header{Name: n.Forwarded, Value: host})
+}
+
+// without returns the list without a header.
+func without(list []thwire.Header, name string) []thwire.Header {
+	return slices.DeleteFunc(list, func(h thwire.Header) bool { return h.Name == name })
 }
 
 // unflatten adds a list of headers to h.
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,6 +36,8 @@
 	// Share returns the route's running move, the pool that it sends traffic to
 	// and its share, 0 to 1.
 	Share(route string) (move, to string, share float64, running bool)
+	// SharePool returns the same of the running move of a pool.
+	SharePool(pool string) (move, to string, share float64, running bool)
 	// Observe counts an answer as evidence.
 	Observe(move, pool, server string, kind therror.Kind, status int, latency time.Duration, load thwire.Load)
 }
@@ -67,6 +70,14 @@
 	SeenGoAway(peer netip.AddrPort) bool
 }
 
+// Budget limits the attempts that reach a backend server after an earlier one
+// of the same call may have. It counts by pool.
+type Budget interface {
+	First(pool string)
+	// Repeat takes one repeat out of the budget; false means that it is spent.
+	Repeat(pool string, priority int) bool
+}
+
 // Metrics counts finished calls. The outcome is empty for an answer of a
 // backend server and an error kind otherwise; added is the time until the head
 // of the answer less that of the backend server, zero where that is unknown.
@@ -84,10 +95,14 @@
 	Local    *Target     // nil sends every call through Dialer
 	Ready    func() bool // nil means always
 	Metrics  Metrics     // nil counts nothing
+	Headers  *Headers    // nil means the product's own names
+	Caller   string      // service beside this daemon, for Headers.Caller
+	Budget   Budget      // nil means a budget for each route by its Retry
 	Clock    clockwork.Clock
 	Log      hclog.Logger
 
 	budgets budgets
+	splits  splits
 }
 
 // call is one call on its way through the ingress.
@@ -98,7 +113,8 @@
 	ctx      context.Context
 	start    time.Time
 	route    *thconfig.Route
-	move     string // the route's running move, empty without one
+	move     string // the running move of the route or the pool, empty without one
+	pool     string // pool of the call without the move
 	open     thwire.Open
 	plain    int // headers before the one with the attempt
 	body     body
@@ -108,6 +124,7 @@
 	wait     time.Duration // retry time of the last server that was full
 	server   string        // last server tried
 	unknown  error         // an earlier attempt may have run
+	reached  int           // attempts that may have reached a backend server
 	status   int
 	added    time.Duration
 	headed   bool // the head of an answer went to the caller
@@ -172,12 +189,12 @@
 		return therror.New(therror.Route, "no route for %s %s%s", c.request.Method, c.request.Host, c.request.URL.Path)
 	}
 	c.route = route
-	r := c.request
-	deadline, err := number(r.Header, HeaderDeadline, route.Timeout.Milliseconds()+1)
+	r, names := c.request, headersOr(c.Headers)
+	deadline, err := number(r.Header, names.Deadline, route.Timeout.Milliseconds()+1)
 	if err != nil {
 		return err
 	}
-	depth, err := number(r.Header, HeaderDepth, 0)
+	depth, err := number(r.Header, names.Depth, 0)
 	if err != nil {
 		return err
 	}
@@ -191,13 +208,21 @@
 	if timeout <= 0 {
 		return therror.New(therror.Down, "deadline passed before the call arrived")
 	}
+	c.pool = route.Pool
+	if len(route.Split) > 0 {
+		c.pool = c.splits.next(route)
+	}
 	c.open = thwire.Open{
-		Version: version, Route: route.Name, Pool: route.Pool, Class: route.Class, Method: r.Method,
-		Target: r.URL.RequestURI(), Host: r.Host, Header: forward(r), Deadline: int64(timeout),
+		Version: version, Route: route.Name, Pool: c.pool, Class: route.Class, Method: r.Method,
+		Target: target(r), Host: r.Host, Header: names.forward(r), Deadline: int64(timeout),
 		Depth: int(depth), Once: route.Repeat != thconfig.RepeatSafe,
+		Priority: route.Priority, Goal: int64(route.Target),
+	}
+	if names.Caller != "" {
+		c.open.Header = append(without(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.Caller})
 	}
 	c.plain = len(c.open.Header)
-	if keys := r.Header[HeaderKey]; len(keys) > 0 && c.open.Once {
+	if keys := r.Header[names.Key]; len(keys) > 0 && c.open.Once {
 		if len(keys) > 1 {
 			return therror.New(therror.Bad, "%d idempotency keys", len(keys))
 		}
@@ -208,6 +233,9 @@
 	}
 	if c.Mover != nil {
 		move, to, share, running := c.Mover.Share(route.Name)
+		if !running {
+			move, to, share, running = c.Mover.SharePool(c.pool)
+		}
 		if running {
 			c.move = move
 			if rand.Float64() < share {
@@ -218,6 +246,14 @@
 	return nil
 }
 
+// target returns the path and query of a request as they were sent.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 func (g *Ingress) now() time.Time { return thclock.Or(g.Clock).Now() }
 
 // number reads a header that holds a whole number from 0 up.
@@ -244,7 +280,11 @@
 		c.Metrics.Call(class, c.status, string(therror.KindOf(err)), total, c.added)
 	}
 	if err != nil && c.Log != nil {
-		c.Log.Warn("call failed", "route", route, "pool", c.open.Pool, "server", c.server, "kind", therror.KindOf(err),
-			"status", c.status, "attempts", c.attempts, "cut", c.headed, "total", total, "error", err)
+		c.Log.Warn("call failed", "request", c.id(), "route", route, "version", c.open.Version, "pool", c.open.Pool,
+			"server", c.server, "kind", therror.KindOf(err), "status", c.status, "attempts", c.attempts, "reached", c.reached,
+			"cut", c.headed, "total", total, "error", err)
 	}
 }
+
+// id returns the id of the request, empty where requests have none.
+func (c *call) id() string { return c.request.Header.Get(headersOr(c.Headers).Request) }
--- a/thproxy/ingress_test.go
+++ b/thproxy/ingress_test.go
@@ -235,6 +235,8 @@
 	observed map[string]int
 }
 
+func (*fakeMover) SharePool(string) (string, string, float64, bool) { return "", "", 0, false }
+
 func (*fakeMover) Share(route string) (string, string, float64, bool) {
 	return route + "-7", "to", 0.3, true
 }
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -28,7 +28,7 @@
 	last    atomic.Int64 // latency of the last call that ended, in ns
 }
 
-func (g *fakeGate) Enter(context.Context) (Pass, error) {
+func (g *fakeGate) Enter(context.Context, *thwire.Open) (Pass, error) {
 	if e := g.refusal.Load(); e != nil {
 		return nil, e
 	}
@@ -40,7 +40,7 @@
 	g.last.Store(int64(latency))
 	g.active.Add(-1)
 }
-func (g *fakeGate) Load() thwire.Load { return thwire.Load{Limit: 20} }
+func (g *fakeGate) Load(string) thwire.Load { return thwire.Load{Limit: 20} }
 
 // fakeClaims keeps claims in memory.
 type fakeClaims struct{ held sync.Map }
--- /dev/null
+++ b/thproxy/shared.go
@@ -0,0 +1,86 @@
+package thproxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmerichaven/turmerichaven/thclock"
+)
+
+// Constants of a SharedBudget.
+const (
+	budgetSlots = 20 // parts of the window
+	// budgetShare is the part of the fleet's limit that the daemons use. The rest
+	// is left for calls that a repeated request makes in turn, which count as
+	// repeats at the services that they reach.
+	budgetShare = 0.25
+)
+
+// SharedBudget is this daemon's part of a limit on repeats that holds for the
+// whole fleet in each sliding window: repeats at a pool are at most Ratio of the
+// requests to it, plus Slack. No agreement is needed: each daemon keeps the
+// ratio for its own requests, and takes an equal part of the slack.
+type SharedBudget struct {
+	Ratio   float64
+	Slack   float64 // repeats in a window, over the fleet
+	Window  time.Duration
+	Daemons func() int // live daemons, this one included
+	Clock   clockwork.Clock
+
+	mutex sync.Mutex
+	pools map[string]*counted
+}
+
+// counted holds the counts of a pool by part of the window.
+type counted struct {
+	first, repeat [budgetSlots]int
+	slot          int64 // latest part, since 1970
+}
+
+func (c *counted) advance(slot int64) {
+	for n := min(slot-c.slot, budgetSlots); n > 0; n-- {
+		c.first[(slot-n+1)%budgetSlots], c.repeat[(slot-n+1)%budgetSlots] = 0, 0
+	}
+	c.slot = max(c.slot, slot)
+}
+
+func (b *SharedBudget) of(pool string) *counted {
+	if b.pools == nil {
+		b.pools = map[string]*counted{}
+	}
+	c := b.pools[pool]
+	if c == nil {
+		c = &counted{}
+		b.pools[pool] = c
+	}
+	c.advance(thclock.Or(b.Clock).Now().UnixNano() / int64(b.Window/budgetSlots))
+	return c
+}
+
+// First counts a request to a pool.
+func (b *SharedBudget) First(pool string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	c := b.of(pool)
+	c.first[c.slot%budgetSlots]++
+}
+
+// Repeat takes one repeat out of the budget; false means that it is spent.
+func (b *SharedBudget) Repeat(pool string, _ int) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	c := b.of(pool)
+	firsts, repeats := 0, 0
+	for i := range c.first {
+		firsts += c.first[i]
+		repeats += c.repeat[i]
+	}
+	limit := budgetShare * (b.Ratio*float64(firsts) + b.Slack/float64(max(1, b.Daemons())))
+	if float64(repeats+1) > limit {
+		return false
+	}
+	c.repeat[c.slot%budgetSlots]++
+	return true
+}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -26,8 +26,9 @@
 // Gate is the admission control beside the backend server.
 type Gate interface {
 	// Enter waits for a place; errors are of kind Full, Leaving, Late or Cancelled.
-	Enter(ctx context.Context) (Pass, error)
-	Load() thwire.Load
+	Enter(ctx context.Context, o *thwire.Open) (Pass, error)
+	// Load is what callers of a route are told.
+	Load(route string) thwire.Load
 }
 
 // Pass is a place that a call holds. Done with a latency of zero means that
@@ -62,8 +63,11 @@
 	// Served takes the outcome of each dispatched call as evidence about the
 	// backend version; nil takes none. An empty kind is an answer with status.
 	Served func(route, pool string, kind therror.Kind, status int, latency time.Duration, cold bool)
-	Clock  clockwork.Clock
-	Log    hclog.Logger
+	// Reported takes what an answer says of the backend server's load; nil takes none.
+	Reported func(running, waiting, slots int)
+	Headers  *Headers // nil means the product's own names
+	Clock    clockwork.Clock
+	Log      hclog.Logger
 }
 
 // Serve handles one call and returns when it has ended.
@@ -81,7 +85,7 @@
 		if t.Log != nil && !therror.IsNotRun(err) {
 			t.Log.Warn("call failed at the target", "route", c.Open().Route, "kind", therror.KindOf(err), "error", err)
 		}
-		_ = c.Refuse(asError(err), t.Gate.Load())
+		_ = c.Refuse(asError(err), t.Gate.Load(c.Open().Route))
 	}
 }
 
@@ -105,15 +109,18 @@
 		return therror.New(therror.Leaving, "backend server drains")
 	}
 	if t.Pool != nil {
-		if p, ok := t.Pool(o.Pool); ok && (p.Service != server.Service || p.Version != server.Version) {
+		if p, ok := t.Pool(o.Pool); ok && !p.Holds(server.Service, server.Version) {
 			return therror.New(therror.Unready, "backend server is %s %s, not of pool %s", server.Service, server.Version, o.Pool)
 		}
 	}
-	r, err := newRequest(c, address)
+	if o.Instance != "" && o.Instance != server.Instance {
+		return therror.New(therror.Unready, "backend server is instance %s, not %s", server.Instance, o.Instance)
+	}
+	r, err := t.newRequest(c, address)
 	if err != nil {
 		return err
 	}
-	pass, err := t.Gate.Enter(c.Context())
+	pass, err := t.Gate.Enter(c.Context(), o)
 	if err != nil {
 		// A call that ended in the queue has not run, whatever ended it.
 		if therror.Is(err, therror.Late) {
@@ -137,12 +144,12 @@
 	}
 	trailer, status, latency, err := t.dispatch(c, r, pass, ticket)
 	if t.Served != nil {
-		t.Served(o.Route, o.Pool, therror.KindOf(err), status, latency, t.Gate.Load().Cold)
+		t.Served(o.Route, o.Pool, therror.KindOf(err), status, latency, t.Gate.Load(o.Route).Cold)
 	}
 	if err != nil {
 		return err
 	}
-	return c.End(trailer, t.Gate.Load())
+	return c.End(trailer, t.Gate.Load(o.Route))
 }
 
 // answerRepeat answers a key that was used before.
@@ -156,7 +163,7 @@
 	if err := c.WriteHead(h); err != nil {
 		return err
 	}
-	return c.End(nil, t.Gate.Load())
+	return c.End(nil, t.Gate.Load(c.Open().Route))
 }
 
 // dispatch sends the request and passes the answer on, but for its end. The
@@ -173,7 +180,7 @@
 			release(c, ticket)
 			return nil, 0, 0, therror.New(therror.Down, "deadline passed before the dispatch")
 		}
-		r.Header[HeaderDeadline] = []string{milliseconds(left)}
+		r.Header[headersOr(t.Headers).Deadline] = []string{milliseconds(left)}
 	}
 	ctx, cancel := context.WithCancelCause(c.Context())
 	defer cancel(nil)
@@ -193,6 +200,11 @@
 		return nil, 0, latency, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := t.rejected(response); err != nil {
+		release(c, ticket)
+		sample, good = 0, true
+		return nil, 0, latency, err
+	}
 	if err := t.relay(c, response, latency); err != nil {
 		good = !therror.Is(err, therror.Broken)
 		return nil, response.StatusCode, latency, err
@@ -204,6 +216,42 @@
 	return flatten(response.Trailer, 0), response.StatusCode, latency, nil
 }
 
+// rejected reads what an answer says of the backend server. The error is of
+// kind Shed when the backend server has not run the request, and Broken for a
+// good answer that is not its own.
+func (t *Target) rejected(response *http.Response) error {
+	names := headersOr(t.Headers)
+	if v := response.Header[names.Load]; len(v) == 1 && t.Reported != nil {
+		if running, waiting, slots, ok := parseLoad(v[0]); ok {
+			t.Reported(running, waiting, slots)
+		}
+	}
+	if names.Rejected != "" && (len(response.Header[names.Rejected]) > 0 || response.StatusCode == http.StatusMisdirectedRequest) {
+		return therror.New(therror.Shed, "backend server answers %d without running the request", response.StatusCode)
+	}
+	if names.Stamp != "" && response.StatusCode < 300 && len(response.Header[names.Stamp]) == 0 {
+		return therror.New(therror.Broken, "answer %d without the mark of the backend server", response.StatusCode)
+	}
+	return nil
+}
+
+// parseLoad reads calls running, calls waiting and slots, separated by commas.
+func parseLoad(v string) (running, waiting, slots int, ok bool) {
+	p := strings.Split(v, ",")
+	if len(p) != 3 {
+		return 0, 0, 0, false
+	}
+	var n [3]int
+	for i := range p {
+		x, err := strconv.Atoi(strings.TrimSpace(p[i]))
+		if err != nil || x < 0 {
+			return 0, 0, 0, false
+		}
+		n[i] = x
+	}
+	return n[0], n[1], n[2], true
+}
+
 // contextError gives an ended context the kind Late or Cancelled, or the kind of its cause.
 func contextError(ctx context.Context) *therror.Error {
 	cause := context.Cause(ctx)
@@ -225,6 +273,10 @@
 // failure gives an error of the transport its kind. The kind claims that the
 // call was not run only when nothing can have been sent.
 func (t *Target) failure(c Call, err error, s *sent) error {
+	var known *therror.Error
+	if errors.As(err, &known) && therror.AnswerTo(known.Kind).NotRun && c.Context().Err() == nil {
+		return err
+	}
 	if s.nothing() {
 		switch ctx := c.Context(); {
 		case ctx.Err() == nil:
@@ -284,15 +336,15 @@
 }
 
 // newRequest builds the request to the backend server.
-func newRequest(c Call, address netip.AddrPort) (*http.Request, error) {
-	o := c.Open()
+func (t *Target) newRequest(c Call, address netip.AddrPort) (*http.Request, error) {
+	o, names := c.Open(), headersOr(t.Headers)
 	u, err := url.ParseRequestURI(o.Target)
 	if err != nil || o.Method == http.MethodConnect || (o.Target != "*" && !strings.HasPrefix(o.Target, "/")) {
 		return nil, therror.New(therror.Bad, "target %q or method %q not usable", o.Target, o.Method)
 	}
 	u.Scheme, u.Host = "http", address.String()
 	r := &http.Request{
-		Method: o.Method, URL: u, Host: o.Host, Header: make(http.Header, len(o.Header)+3),
+		Method: o.Method, URL: u, RequestURI: o.Target, Host: o.Host, Header: make(http.Header, len(o.Header)+3),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: -1,
 	}
 	unflatten(r.Header, o.Header)
@@ -304,7 +356,15 @@
 		r.ContentLength = n
 		delete(r.Header, "Content-Length")
 	}
-	r.Header[HeaderDepth] = []string{strconv.Itoa(o.Depth + 1)}
+	if names.Depth != "" {
+		r.Header[names.Depth] = []string{strconv.Itoa(o.Depth + 1)}
+	}
+	if names.Instance != "" {
+		delete(r.Header, names.Instance)
+		if o.Instance != "" {
+			r.Header[names.Instance] = []string{o.Instance}
+		}
+	}
 	if _, ok := r.Header["User-Agent"]; !ok {
 		r.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
--- a/throute/router.go
+++ b/throute/router.go
@@ -18,7 +18,8 @@
 // Router finds the route of a request. It is immutable. A route with a host
 // wins over one without, then the longer path wins, then a route with a method.
 type Router struct {
-	muxes map[string]*http.ServeMux // by method; anyMethod for the others
+	muxes    map[string]*http.ServeMux // by method; anyMethod for the others
+	prefixes prefixes                  // in place of muxes; nil where these are used
 }
 
 // target is the handler registered for a route; it never serves.
@@ -118,6 +119,9 @@
 	if q.Method == http.MethodConnect {
 		return nil, false
 	}
+	if r.prefixes != nil {
+		return r.prefixes.match(q)
+	}
 	q, ok := normalise(q)
 	if !ok {
 		return nil, false
--- a/thsettings/generate/main.go
+++ b/thsettings/generate/main.go
@@ -91,7 +91,7 @@
 var goTypes = map[string]string{
 	"name": "string", "label": "string", "text": "string", "url": "string", "choice": "string",
 	"address": "netip.AddrPort", "addresses": "[]netip.AddrPort",
-	"duration": "time.Duration", "count": "int", "bytes": "int",
+	"duration": "time.Duration", "count": "int", "bytes": "int", "ratio": "float64",
 }
 
 func title(s string) string { return strings.ToUpper(s[:1]) + s[1:] }
@@ -147,7 +147,7 @@
 	switch k.kind {
 	case "duration":
 		return fmt.Sprintf(", %s, %s", durationSource(k.least), durationSource(k.most))
-	case "count":
+	case "count", "ratio":
 		return fmt.Sprintf(", %s, %s", k.least, k.most)
 	case "addresses":
 		return ", " + k.most
--- a/thsettings/parse.go
+++ b/thsettings/parse.go
@@ -117,6 +117,18 @@
 	return n, nil
 }
 
+// parseRatio parses a number that may have fractions.
+func parseRatio(v string, least, most float64) (float64, error) {
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a number", v)
+	}
+	if !(n >= least && n <= most) { // false for NaN
+		return 0, fmt.Errorf("%v is not between %v and %v", n, least, most)
+	}
+	return n, nil
+}
+
 func parseBytes(v, least, most string) (int, error) {
 	n, err := size(v)
 	if err != nil {
--- a/thsettings/settings.go
+++ b/thsettings/settings.go
@@ -61,7 +61,7 @@
 	for _, x := range f.Sections {
 		readSection(f, x, &s, lines)
 	}
-	checkNeeds(f, role, lines)
+	checkNeeds(f, &s, role, lines)
 	checkClashes(f, &s, lines)
 	if err := f.Faults.Err(); err != nil {
 		return Settings{}, err
@@ -88,9 +88,21 @@
 	}
 }
 
-func checkNeeds(f *thini.File, role Role, lines map[string]int) {
+// The kinds of platform.
+const (
+	KindTables = "tables"
+	KindRows   = "rows"
+)
+
+const sectionPlatform = "platform"
+
+func checkNeeds(f *thini.File, s *Settings, role Role, lines map[string]int) {
+	rows := s.Platform.Kind == KindRows
+	if rows && !s.Platform.Store.IsValid() {
+		f.Fault(lines[sectionPlatform], sectionPlatform, "store", "missing for kind %s", KindRows)
+	}
 	for _, k := range keys {
-		if k.need != needAll && k.need != string(role) {
+		if k.need != needAll && k.need != string(role) || rows && k.section == sectionPlatform {
 			continue
 		}
 		if _, found := lines[k.section+"."+k.name]; !found {
@@ -105,7 +117,7 @@
 	for _, l := range []struct {
 		name    string
 		address netip.AddrPort
-	}{{"ingress", s.Listen.Ingress}, {"peer", s.Listen.Peer}, {"local", s.Listen.Local}, {"admin", s.Listen.Admin}} {
+	}{{"ingress", s.Listen.Ingress}, {"peer", s.Listen.Peer}, {"local", s.Listen.Local}, {"admin", s.Listen.Admin}, {"ready", s.Listen.Ready}} {
 		if !l.address.IsValid() {
 			continue
 		}
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -11,10 +11,11 @@
 type Settings struct {
 	Daemon   DaemonSettings   // Identity of this daemon.
 	Listen   ListenSettings   // Addresses that the daemon listens on: an IP number and a port each.
-	Platform PlatformSettings // The platform's table service (DynamoDB API) and object store (S3 API).
+	Platform PlatformSettings // The platform's table service (DynamoDB API) and object store (S3 API), or a platform whose operators write to a store of rows.
 	Peers    PeersSettings    // How a daemon finds the fleet.
 	Server   ServerSettings   // The backend server beside the daemon.
 	Limits   LimitsSettings   // Limits on calls.
+	Budget   BudgetSettings   // Repeats that the whole fleet may send to a service in any window, with kind rows.
 	Stop     StopSettings     // Graceful shutdown.
 	Log      LogSettings      // Logging.
 }
@@ -33,18 +34,21 @@
 	Announce netip.AddrPort // Peer address that is announced to other daemons where it differs from peer, as behind address translation.
 	Local    netip.AddrPort // Announcements of the backend server beside the daemon.
 	Admin    netip.AddrPort // Metrics, health, readiness, status and poke.
+	Ready    netip.AddrPort // Readiness for a platform that asks on an address of its own.
 }
 
-// PlatformSettings is section [platform]. The platform's table service (DynamoDB API) and object store (S3 API).
+// PlatformSettings is section [platform]. The platform's table service (DynamoDB API) and object store (S3 API), or a platform whose operators write to a store of rows.
 type PlatformSettings struct {
-	Table   string        // URL of the table service.
-	Name    string        // Name of the table.
-	Object  string        // URL of the object store.
-	Bucket  string        // Bucket of the snapshots.
-	Region  string        // Region that requests are signed for.
-	Access  string        // Access key.
-	Secret  string        // Secret key.
-	Timeout time.Duration // Deadline of one request to the platform.
+	Kind    string         // What the platform offers: tables (DynamoDB and S3 API, edited by the operator commands) or rows (a store of rows in which operators write the configuration themselves).
+	Store   netip.AddrPort // Address of the store of rows; needed by kind rows, which needs none of the other keys.
+	Table   string         // URL of the table service.
+	Name    string         // Name of the table.
+	Object  string         // URL of the object store.
+	Bucket  string         // Bucket of the snapshots.
+	Region  string         // Region that requests are signed for.
+	Access  string         // Access key.
+	Secret  string         // Secret key.
+	Timeout time.Duration  // Deadline of one request to the platform.
 }
 
 // PeersSettings is section [peers]. How a daemon finds the fleet.
@@ -55,8 +59,10 @@
 
 // ServerSettings is section [server]. The backend server beside the daemon.
 type ServerSettings struct {
-	Connections int // Most connections to the backend server.
-	Slots       int // Highest number of slots that an announcement may claim.
+	Service     string         // Service of the backend server. With kind rows, heartbeats of others are refused.
+	Address     netip.AddrPort // Address of the backend server. With kind rows, heartbeats that name another one are refused.
+	Connections int            // Most connections to the backend server.
+	Slots       int            // Highest number of slots that an announcement may claim.
 }
 
 // LimitsSettings is section [limits]. Limits on calls.
@@ -67,6 +73,13 @@
 	Claims int           // Idempotency claims written per second.
 }
 
+// BudgetSettings is section [budget]. Repeats that the whole fleet may send to a service in any window, with kind rows.
+type BudgetSettings struct {
+	Ratio  float64       // Repeats for each request to the service.
+	Slack  float64       // Repeats beyond the ratio, over the fleet.
+	Window time.Duration // Length of the window.
+}
+
 // StopSettings is section [stop]. Graceful shutdown.
 type StopSettings struct {
 	Notice time.Duration // Time between the notice to the fleet and the end of accepting calls.
@@ -78,7 +91,7 @@
 	Level string // Lowest level that is logged.
 }
 
-var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "stop", "log"}
+var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "stop", "log"}
 
 var keys = []key{
 	{section: "daemon", name: "name", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Name, err = checkDaemonName(v); return err }},
@@ -89,6 +102,9 @@
 	{section: "listen", name: "announce", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Listen.Announce, err = checkListenAnnounce(v); return err }},
 	{section: "listen", name: "local", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Listen.Local, err = checkListenLocal(v); return err }},
 	{section: "listen", name: "admin", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Listen.Admin, err = checkListenAdmin(v); return err }},
+	{section: "listen", name: "ready", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Listen.Ready, err = checkListenReady(v); return err }},
+	{section: "platform", name: "kind", fallback: "tables", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Kind, err = checkPlatformKind(v); return err }},
+	{section: "platform", name: "store", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Store, err = checkPlatformStore(v); return err }},
 	{section: "platform", name: "table", fallback: "", need: "all", set: func(s *Settings, v string) (err error) { s.Platform.Table, err = checkPlatformTable(v); return err }},
 	{section: "platform", name: "name", fallback: "turmerichaven", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Name, err = checkPlatformName(v); return err }},
 	{section: "platform", name: "object", fallback: "", need: "all", set: func(s *Settings, v string) (err error) { s.Platform.Object, err = checkPlatformObject(v); return err }},
@@ -99,6 +115,8 @@
 	{section: "platform", name: "timeout", fallback: "2s", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Timeout, err = checkPlatformTimeout(v); return err }},
 	{section: "peers", name: "seeds", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Peers.Seeds, err = checkPeersSeeds(v); return err }},
 	{section: "peers", name: "spread", fallback: "1s", need: "", set: func(s *Settings, v string) (err error) { s.Peers.Spread, err = checkPeersSpread(v); return err }},
+	{section: "server", name: "service", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Server.Service, err = checkServerService(v); return err }},
+	{section: "server", name: "address", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Server.Address, err = checkServerAddress(v); return err }},
 	{section: "server", name: "connections", fallback: "100", need: "", set: func(s *Settings, v string) (err error) {
 		s.Server.Connections, err = checkServerConnections(v)
 		return err
@@ -108,6 +126,9 @@
 	{section: "limits", name: "body", fallback: "64KiB", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Body, err = checkLimitsBody(v); return err }},
 	{section: "limits", name: "depth", fallback: "10", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Depth, err = checkLimitsDepth(v); return err }},
 	{section: "limits", name: "claims", fallback: "20", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Claims, err = checkLimitsClaims(v); return err }},
+	{section: "budget", name: "ratio", fallback: "0.2", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Ratio, err = checkBudgetRatio(v); return err }},
+	{section: "budget", name: "slack", fallback: "50", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Slack, err = checkBudgetSlack(v); return err }},
+	{section: "budget", name: "window", fallback: "10s", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Window, err = checkBudgetWindow(v); return err }},
 	{section: "stop", name: "notice", fallback: "1s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Notice, err = checkStopNotice(v); return err }},
 	{section: "stop", name: "grace", fallback: "60s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Grace, err = checkStopGrace(v); return err }},
 	{section: "log", name: "level", fallback: "info", need: "", set: func(s *Settings, v string) (err error) { s.Log.Level, err = checkLogLevel(v); return err }},
@@ -129,6 +150,12 @@
 
 func checkListenAdmin(v string) (netip.AddrPort, error) { return parseAddress(v) }
 
+func checkListenReady(v string) (netip.AddrPort, error) { return parseAddress(v) }
+
+func checkPlatformKind(v string) (string, error) { return parseChoice(v, "tables,rows") }
+
+func checkPlatformStore(v string) (netip.AddrPort, error) { return parseAddress(v) }
+
 func checkPlatformTable(v string) (string, error) { return parseURL(v) }
 
 func checkPlatformName(v string) (string, error) { return parseLabel(v) }
@@ -153,6 +180,10 @@
 	return parseDuration(v, 100*time.Millisecond, 30*time.Second)
 }
 
+func checkServerService(v string) (string, error) { return parseLabel(v) }
+
+func checkServerAddress(v string) (netip.AddrPort, error) { return parseAddress(v) }
+
 func checkServerConnections(v string) (int, error) { return parseCount(v, 1, 10000) }
 
 func checkServerSlots(v string) (int, error) { return parseCount(v, 1, 100000) }
@@ -167,6 +198,14 @@
 
 func checkLimitsClaims(v string) (int, error) { return parseCount(v, 1, 1000) }
 
+func checkBudgetRatio(v string) (float64, error) { return parseRatio(v, 0, 1) }
+
+func checkBudgetSlack(v string) (float64, error) { return parseRatio(v, 0, 100000) }
+
+func checkBudgetWindow(v string) (time.Duration, error) {
+	return parseDuration(v, 1*time.Second, 600*time.Second)
+}
+
 func checkStopNotice(v string) (time.Duration, error) {
 	return parseDuration(v, 0*time.Second, 30*time.Second)
 }
@@ -201,9 +240,15 @@
 	"local = 127.0.0.1:8082\n" +
 	"# Metrics, health, readiness, status and poke.\n" +
 	"admin = 127.0.0.1:8083\n" +
+	"# Readiness for a platform that asks on an address of its own.\n" +
+	"#ready = \n" +
 	"\n" +
-	"# The platform's table service (DynamoDB API) and object store (S3 API).\n" +
+	"# The platform's table service (DynamoDB API) and object store (S3 API), or a platform whose operators write to a store of rows.\n" +
 	"[platform]\n" +
+	"# What the platform offers: tables (DynamoDB and S3 API, edited by the operator commands) or rows (a store of rows in which operators write the configuration themselves). (tables, rows)\n" +
+	"#kind = tables\n" +
+	"# Address of the store of rows; needed by kind rows, which needs none of the other keys.\n" +
+	"#store = \n" +
 	"# URL of the table service.\n" +
 	"table = http://127.0.0.1:9000\n" +
 	"# Name of the table.\n" +
@@ -230,6 +275,10 @@
 	"\n" +
 	"# The backend server beside the daemon.\n" +
 	"[server]\n" +
+	"# Service of the backend server. With kind rows, heartbeats of others are refused.\n" +
+	"#service = \n" +
+	"# Address of the backend server. With kind rows, heartbeats that name another one are refused.\n" +
+	"#address = \n" +
 	"# Most connections to the backend server. (1 to 10000)\n" +
 	"#connections = 100\n" +
 	"# Highest number of slots that an announcement may claim. (1 to 100000)\n" +
@@ -246,6 +295,15 @@
 	"# Idempotency claims written per second. (1 to 1000)\n" +
 	"#claims = 20\n" +
 	"\n" +
+	"# Repeats that the whole fleet may send to a service in any window, with kind rows.\n" +
+	"[budget]\n" +
+	"# Repeats for each request to the service. (0 to 1)\n" +
+	"#ratio = 0.2\n" +
+	"# Repeats beyond the ratio, over the fleet. (0 to 100000)\n" +
+	"#slack = 50\n" +
+	"# Length of the window. (1s to 10m)\n" +
+	"#window = 10s\n" +
+	"\n" +
 	"# Graceful shutdown.\n" +
 	"[stop]\n" +
 	"# Time between the notice to the fleet and the end of accepting calls. (0s to 30s)\n" +
@@ -286,13 +344,16 @@
 	"| `announce` | address |  |  | no | Peer address that is announced to other daemons where it differs from peer, as behind address translation. |\n" +
 	"| `local` | address |  |  | by the daemon | Announcements of the backend server beside the daemon. |\n" +
 	"| `admin` | address |  |  | by the daemon | Metrics, health, readiness, status and poke. |\n" +
+	"| `ready` | address |  |  | no | Readiness for a platform that asks on an address of its own. |\n" +
 	"\n" +
 	"## [platform]\n" +
 	"\n" +
-	"The platform's table service (DynamoDB API) and object store (S3 API).\n" +
+	"The platform's table service (DynamoDB API) and object store (S3 API), or a platform whose operators write to a store of rows.\n" +
 	"\n" +
 	"| key | type | range | default | required | meaning |\n" +
 	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `kind` | choice | tables, rows | `tables` | no | What the platform offers: tables (DynamoDB and S3 API, edited by the operator commands) or rows (a store of rows in which operators write the configuration themselves). |\n" +
+	"| `store` | address |  |  | no | Address of the store of rows; needed by kind rows, which needs none of the other keys. |\n" +
 	"| `table` | url |  |  | yes | URL of the table service. |\n" +
 	"| `name` | label |  | `turmerichaven` | no | Name of the table. |\n" +
 	"| `object` | url |  |  | yes | URL of the object store. |\n" +
@@ -317,6 +378,8 @@
 	"\n" +
 	"| key | type | range | default | required | meaning |\n" +
 	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `service` | label |  |  | no | Service of the backend server. With kind rows, heartbeats of others are refused. |\n" +
+	"| `address` | address |  |  | no | Address of the backend server. With kind rows, heartbeats that name another one are refused. |\n" +
 	"| `connections` | count | 1 to 10000 | `100` | no | Most connections to the backend server. |\n" +
 	"| `slots` | count | 1 to 100000 | `1000` | no | Highest number of slots that an announcement may claim. |\n" +
 	"\n" +
@@ -331,6 +394,16 @@
 	"| `depth` | count | 1 to 100 | `10` | no | Highest call depth. |\n" +
 	"| `claims` | count | 1 to 1000 | `20` | no | Idempotency claims written per second. |\n" +
 	"\n" +
+	"## [budget]\n" +
+	"\n" +
+	"Repeats that the whole fleet may send to a service in any window, with kind rows.\n" +
+	"\n" +
+	"| key | type | range | default | required | meaning |\n" +
+	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `ratio` | ratio | 0 to 1 | `0.2` | no | Repeats for each request to the service. |\n" +
+	"| `slack` | ratio | 0 to 100000 | `50` | no | Repeats beyond the ratio, over the fleet. |\n" +
+	"| `window` | duration | 1s to 10m | `10s` | no | Length of the window. |\n" +
+	"\n" +
 	"## [stop]\n" +
 	"\n" +
 	"Graceful shutdown.\n" +
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -15,7 +15,7 @@
 //msgp:tuple Member Server
 
 // Protocol is the version of the protocol; peers of another version are refused.
-const Protocol = 2
+const Protocol = 3
 
 // The kinds of connection that a Hello opens.
 const (
@@ -71,6 +71,11 @@
 	Version string `msg:"v"`
 	Slots   int    `msg:"n"`
 	State   string `msg:"t"`
+	// Instance is the id that the server has given itself; empty where it has none.
+	Instance string `msg:"i"`
+	// Born is when the instance started, zero where unknown. It orders the
+	// instances at one daemon.
+	Born int64 `msg:"o"` // ms since 1970
 }
 
 // Held says which configuration version a daemon has in force.
@@ -219,6 +224,11 @@
 	Active int  `msg:"a"` // calls in progress
 	Queued int  `msg:"q"` // calls in the queue
 	Cold   bool `msg:"c"` // the backend server is starting or suddenly cold
+	// Wait is the time that a further call of the lowest priority would wait now.
+	Wait int64 `msg:"w"` // ns
+	// Time is what the backend server takes for a call of the same route; zero
+	// where unknown.
+	Time int64 `msg:"t"` // ns
 }
 
 // Header is one line of an HTTP header.
@@ -243,6 +253,10 @@
 	Key      string   `msg:"k"` // idempotency key
 	Once     bool     `msg:"o"` // dispatch at most once
 	Ended    bool     `msg:"z"` // no body follows
+	Instance string   `msg:"i"` // backend server instance that the call is meant for; empty for any
+	Priority int      `msg:"y"` // 0 is the most urgent
+	Goal     int64    `msg:"g"` // time left until the latency objective in ns; zero without one
+	Again    bool     `msg:"b"` // an earlier attempt may have reached a backend server
 }
 
 // Head begins the answer of a stream.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1486,9 +1486,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "l"
-	o = append(o, 0x84, 0xa1, 0x6c)
+	o = append(o, 0x86, 0xa1, 0x6c)
 	o = msgp.AppendInt(o, z.Limit)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -1499,6 +1499,12 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Cold)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Wait)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Time)
 	return
 }
 
@@ -1548,6 +1554,18 @@
 				err = msgp.WrapError(err, "Cold")
 				return
 			}
+		case "w":
+			z.Wait, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wait")
+				return
+			}
+		case "t":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1562,7 +1580,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -2035,9 +2053,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 18
 	// string "s"
-	o = append(o, 0x8e, 0xa1, 0x73)
+	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x73)
 	o = msgp.AppendUint32(o, z.Stream)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
@@ -2087,6 +2105,18 @@
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendBool(o, z.Ended)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendInt(o, z.Priority)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt64(o, z.Goal)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBool(o, z.Again)
 	return
 }
 
@@ -2246,6 +2276,30 @@
 				err = msgp.WrapError(err, "Ended")
 				return
 			}
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "y":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		case "g":
+			z.Goal, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Goal")
+				return
+			}
+		case "b":
+			z.Again, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Again")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2260,11 +2314,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Open) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Pool) + 2 + msgp.StringPrefixSize + len(z.Class) + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint32Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Route) + 2 + msgp.StringPrefixSize + len(z.Pool) + 2 + msgp.StringPrefixSize + len(z.Class) + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Target) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -2746,12 +2800,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Server) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendString(o, z.Service)
 	o = msgp.AppendString(o, z.Version)
 	o = msgp.AppendInt(o, z.Slots)
 	o = msgp.AppendString(o, z.State)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendInt64(o, z.Born)
 	return
 }
 
@@ -2763,8 +2819,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Service, bts, err = msgp.ReadStringBytes(bts)
@@ -2787,13 +2843,23 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Server) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + msgp.IntSize + msgp.StringPrefixSize + len(z.State)
+	s = 1 + msgp.StringPrefixSize + len(z.Service) + msgp.StringPrefixSize + len(z.Version) + msgp.IntSize + msgp.StringPrefixSize + len(z.State) + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size
 	return
 }
 
