Use one transport to backend servers that knows what was sent

Ruled out: a trace for Direct beside the one of http.Transport; two transports with two ways to prove "nothing was sent".

Change: Direct replaces http.Transport for both kinds of platform, its errors say whether anything was sent; countedConn, the trace and the header tricks against replays are gone. The setting server.connections now has effect. A daemon without configuration takes no calls at its target.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -60,6 +60,7 @@
 	readiness http.Handler
 	admin     thadmin.Admin
 	closers   []func() // further parts to stop
+	direct    *thproxy.Direct
 	target    *thproxy.Target
 	ingress   *thproxy.Ingress
 	metrics   *thmetric.Metrics
@@ -179,7 +180,7 @@
 	d.admin.Poke, d.admin.Offer = holder.Poke, holder.Offer
 	d.mover.Finisher = finisher{d.platform.Store, d.metrics}
 	d.guard = &thonce.Guard{Store: d.platform.Store, Clock: d.Clock, Rate: float64(s.Limits.Claims)}
-	d.target.Guard, d.target.Transport, d.target.Server = d.guard, thproxy.NewTransport(), watcher.Server
+	d.target.Guard, d.target.Server = d.guard, watcher.Server
 	watcher.Watch(func(s thwire.Server, address netip.AddrPort, gone bool) {
 		if gone {
 			d.Log.Warn("backend server is gone", "address", address)
@@ -207,11 +208,14 @@
 			Name: self.Name, Zone: self.Zone, Region: self.Region,
 		}
 	}}
+	d.direct = &thproxy.Direct{Limit: d.Settings.Server.Connections, Clock: d.Clock}
+	d.closers = append(d.closers, d.direct.CloseIdle)
 	d.target = &thproxy.Target{
-		Closed: func() bool { return d.draining.Load() || d.zoneOut.Load() },
-		Pool:   d.pool,
-		Served: d.mover.Served,
-		Clock:  d.Clock, Log: d.Log.Named("target"),
+		Transport: d.direct,
+		Closed:    d.closed,
+		Pool:      d.pool,
+		Served:    d.mover.Served,
+		Clock:     d.Clock, Log: d.Log.Named("target"),
 	}
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
@@ -220,6 +224,12 @@
 	}
 }
 
+// closed reports whether the target takes no new work. Without a configuration
+// it does not know the limits of its backend server.
+func (d *Daemon) closed() bool {
+	return d.draining.Load() || d.zoneOut.Load() || d.holder.Current() == nil
+}
+
 func (d *Daemon) pool(name string) (*thconfig.Pool, bool) {
 	s := d.holder.Current()
 	if s == nil {
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 
 	hosted "github.com/turmerichaven/turmerichaven/platform"
 	"github.com/turmerichaven/turmerichaven/thadmit"
@@ -25,11 +26,10 @@
 		Service: s.Server.Service, Address: s.Server.Address, Clock: d.Clock, Log: d.Log.Named("server"),
 	}
 	scheduler := &thadmit.Scheduler{Clock: d.Clock}
-	direct := &thproxy.Direct{Headers: hosted.Headers(), Clock: d.Clock}
 	d.holder, d.gate, d.server = follower, schedule{scheduler}, idle{}
 	d.local, d.readiness = hosted.Control(registry.Take), hosted.Readiness(d.reasons)
 	d.mover.Finisher = reporter{d.platform.rows}
-	d.target.Headers, d.target.Transport = hosted.Headers(), direct
+	d.target.Headers, d.direct.Headers = hosted.Headers(), hosted.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
 		e := registry.Current()
 		if e == nil {
@@ -44,7 +44,11 @@
 	}
 	b := &beside{Daemon: d, registry: registry, scheduler: scheduler}
 	registry.Watch(b.changed)
-	d.closers = append(d.closers, direct.CloseIdle)
+	d.holder.Watch(func(*thsync.Snapshot) {
+		if e := registry.Current(); e != nil {
+			b.changed(e)
+		}
+	})
 }
 
 // beside tells the other parts of the backend server beside the daemon.
@@ -53,10 +57,14 @@
 
 	registry  *thserver.Registry
 	scheduler *thadmit.Scheduler
+	mutex     sync.Mutex // guards instance and serialises changes
 	instance  string
 }
 
+// changed tells of a heartbeat or a new configuration.
 func (b *beside) changed(e *thserver.Entry) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	if e.Instance != b.instance {
 		b.instance = e.Instance
 		b.scheduler.Restarted()
--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -23,7 +23,9 @@
 
 // Limits of a Direct transport.
 const (
-	directBuffer = 8 << 10 // bytes read at once
+	connectTimeout = time.Second
+	maxHeaderBytes = 256 << 10 // of an answer's head
+	directBuffer   = 8 << 10   // bytes read at once
 	// inlineBody is the largest request body that is sent in one write with its
 	// head; a longer one is sent beside the reading of the answer, which may come early.
 	inlineBody   = 16 << 10
@@ -36,15 +38,19 @@
 // Direct is the transport to the backend server of a daemon on which several
 // answers may arrive for one request, or an answer that belongs to an earlier
 // one: it takes the answer that repeats the id of the request, and never sends
-// a request twice. It uses no goroutine for an idle connection. An error of a
-// kind that is not run proves that nothing was sent.
+// a request twice. It uses no goroutine for an idle connection. Its errors are
+// of kind Unready where nothing was sent, and Broken otherwise.
 type Direct struct {
 	Headers *Headers // Request names the header with the id; no check without a name
+	Limit   int      // most connections; zero means any number
 	Clock   clockwork.Clock
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
 
-	mutex sync.Mutex
-	idle  []*directConn // latest use last
+	once    sync.Once
+	places  chan struct{} // one for each connection in use; nil without a limit
+	opening chan struct{} // connections are opened one at a time, since each costs the server about 1 ms
+	mutex   sync.Mutex
+	idle    []*directConn // latest use last
 }
 
 // directConn is a connection with at most one request.
@@ -54,25 +60,42 @@
 	reader  *bufio.Reader
 	until   time.Time // not used again from then on
 	stray   bool      // carried an answer to another request
+	left    int       // bytes that may be read until the end of the next head; negative for any number
+}
+
+// Read reads from the connection, and fails in the middle of a head that is too long.
+func (c *directConn) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, therror.New(therror.Broken, "head of the answer has more than %d bytes", maxHeaderBytes)
+	}
+	if c.left > 0 && len(p) > c.left {
+		p = p[:c.left]
+	}
+	n, err := c.Conn.Read(p)
+	if c.left > 0 {
+		c.left -= n
+	}
+	return n, err
 }
 
 // RoundTrip sends one request. The answer's body must be closed.
 func (d *Direct) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
+	d.once.Do(d.init)
+	if !take(ctx, d.places) {
+		return nil, therror.Wrap(therror.Unready, context.Cause(ctx), "all %d connections to the backend server are in use", d.Limit)
+	}
 	c, err := d.get(ctx, r.URL.Host)
 	if err != nil {
+		give(d.places)
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	x := &exchange{conn: c, owner: d, stop: stop}
-	if err := x.send(r); err != nil {
-		x.drop()
-		return nil, err
-	}
-	response, err := x.receive(r, headersOr(d.Headers).Request)
+	response, err := x.run(r, headersOr(d.Headers).Request)
 	if err != nil {
 		x.drop()
-		return nil, err
+		return nil, therror.Wrap(therror.Broken, err, "request to the backend server")
 	}
 	x.body, x.left = response.Body, response.ContentLength
 	x.keep = !response.Close && !c.stray
@@ -88,6 +111,33 @@
 	return response, nil
 }
 
+func (d *Direct) init() {
+	d.opening = make(chan struct{}, 1)
+	if d.Limit > 0 {
+		d.places = make(chan struct{}, d.Limit)
+	}
+}
+
+// take takes a place of a semaphore; nil has any number of them. It returns
+// false when ctx ends first.
+func take(ctx context.Context, places chan struct{}) bool {
+	if places == nil {
+		return true
+	}
+	select {
+	case places <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func give(places chan struct{}) {
+	if places != nil {
+		<-places
+	}
+}
+
 // get returns an idle connection that has neither ended nor received anything, or a new one.
 func (d *Direct) get(ctx context.Context, address string) (*directConn, error) {
 	now := thclock.Or(d.Clock).Now()
@@ -106,15 +156,25 @@
 		}
 		_ = c.Close()
 	}
+	return d.connect(ctx, address)
+}
+
+func (d *Direct) connect(ctx context.Context, address string) (*directConn, error) {
+	if !take(ctx, d.opening) {
+		return nil, therror.Wrap(therror.Unready, context.Cause(ctx), "connect to the backend server")
+	}
+	defer give(d.opening)
 	dial := d.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectTimeout, KeepAlive: directSilent}).DialContext
 	}
-	c, err := dial(ctx, "tcp", address)
+	n, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, therror.Wrap(therror.Unready, err, "connect to the backend server")
 	}
-	return &directConn{Conn: c, address: address, reader: bufio.NewReaderSize(c, directBuffer)}, nil
+	c := &directConn{Conn: n, address: address, left: -1}
+	c.reader = bufio.NewReaderSize(c, directBuffer)
+	return c, nil
 }
 
 // put keeps a connection for further requests. Those that have been idle too
@@ -196,7 +256,16 @@
 	sent  chan error // result of a body that is sent beside the answer; nil without one
 }
 
-// send writes the request. The error is not run when nothing was handed to the connection.
+// run sends the request and reads the head of its answer. After an error the
+// backend server may have run the request.
+func (x *exchange) run(r *http.Request, id string) (*http.Response, error) {
+	if err := x.send(r); err != nil {
+		return nil, err
+	}
+	return x.receive(r, id)
+}
+
+// send writes the request.
 func (x *exchange) send(r *http.Request) error {
 	var b bytes.Buffer
 	writeHead(&b, r)
@@ -275,10 +344,12 @@
 // receive reads answers until one repeats the id of the request.
 func (x *exchange) receive(r *http.Request, name string) (*http.Response, error) {
 	for {
+		x.conn.left = maxHeaderBytes
 		response, err := http.ReadResponse(x.conn.reader, r)
 		if err != nil {
 			return nil, err
 		}
+		x.conn.left = -1
 		if response.StatusCode < 200 {
 			continue
 		}
@@ -347,10 +418,16 @@
 	}
 	x.done = true
 	x.owner.put(x.conn)
+	give(x.owner.places)
 }
 
+// drop closes the connection.
 func (x *exchange) drop() {
+	if x.done {
+		return
+	}
 	x.done = true
 	x.stop()
 	_ = x.conn.Close()
+	give(x.owner.places)
 }
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -147,7 +147,7 @@
 	server := httptest.NewServer(h)
 	gate := &fakeGate{}
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	transport := NewTransport()
+	transport := &Direct{}
 	target := &Target{
 		Gate: gate, Guard: &thonce.Guard{Store: claims, Rate: 1e6}, Transport: transport,
 		Server: func() (thwire.Server, netip.AddrPort, bool) {
@@ -185,7 +185,7 @@
 		for _, s := range sessions {
 			s.Close()
 		}
-		transport.CloseIdleConnections()
+		transport.CloseIdle()
 		server.CloseClientConnections()
 		server.Close()
 	})
--- a/thproxy/retry_test.go
+++ b/thproxy/retry_test.go
@@ -299,24 +299,6 @@
 	}
 }
 
-// Guards against a request that was never written and is reported as unknown,
-// and against one that is written after it was reported as not run.
-func TestSealedConnection(t *testing.T) {
-	a, b := net.Pipe()
-	defer b.Close()
-	go io.Copy(io.Discard, b)
-	c := &countedConn{Conn: a}
-	use := c.begin()
-	_, err := c.Write([]byte("x"))
-	assert.NilError(t, err)
-	assert.Assert(t, !c.seal(use) && !c.seal(use+1))
-	c = &countedConn{Conn: a}
-	use = c.begin()
-	assert.Assert(t, c.seal(use))
-	_, err = c.Write([]byte("x"))
-	assert.Assert(t, err != nil)
-}
-
 // Guards against a local answer that was cut and is reported as not run.
 func TestLocalAnswerCut(t *testing.T) {
 	address, _ := cutServer(t, fullAnswer[:len(fullAnswer)-1])
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"runtime/debug"
@@ -52,7 +51,7 @@
 type Target struct {
 	Gate      Gate
 	Guard     *thonce.Guard
-	Transport http.RoundTripper // see NewTransport
+	Transport http.RoundTripper // a *Direct, or one whose errors are of the same kinds
 	// Server returns the backend server and its address; false while there is none.
 	Server func() (thwire.Server, netip.AddrPort, bool)
 	// Closed reports that the daemon drains or its zone is out; nil means never.
@@ -182,17 +181,14 @@
 		}
 		r.Header[headersOr(t.Headers).Deadline] = []string{milliseconds(left)}
 	}
-	ctx, cancel := context.WithCancelCause(c.Context())
-	defer cancel(nil)
-	s := sent{cancel: cancel}
-	response, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, s.trace())))
+	response, err := t.Transport.RoundTrip(r.WithContext(c.Context()))
 	latency = max(clock.Since(start), 1)
 	sample = latency
 	if err != nil {
-		if s.nothing() {
+		if therror.IsNotRun(err) {
 			release(c, ticket)
 		}
-		err = t.failure(c, err, &s)
+		err = t.failure(c, err)
 		good = false
 		if therror.Is(err, therror.Cancelled) {
 			sample = 0 // a caller that gave up says nothing about the backend server
@@ -201,8 +197,10 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := t.rejected(response); err != nil {
-		release(c, ticket)
-		sample, good = 0, true
+		if therror.IsNotRun(err) {
+			release(c, ticket)
+		}
+		sample = 0
 		return nil, 0, latency, err
 	}
 	if err := t.relay(c, response, latency); err != nil {
@@ -272,12 +270,8 @@
 
 // failure gives an error of the transport its kind. The kind claims that the
 // call was not run only when nothing can have been sent.
-func (t *Target) failure(c Call, err error, s *sent) error {
-	var known *therror.Error
-	if errors.As(err, &known) && therror.AnswerTo(known.Kind).NotRun && c.Context().Err() == nil {
-		return err
-	}
-	if s.nothing() {
+func (t *Target) failure(c Call, err error) error {
+	if therror.IsNotRun(err) {
 		switch ctx := c.Context(); {
 		case ctx.Err() == nil:
 			// The balancer avoids a server that is not ready; Down from a daemon that
@@ -373,9 +367,6 @@
 	} else {
 		r.ContentLength = 0
 	}
-	if o.Once {
-		forbidReplay(r)
-	}
 	return r, nil
 }
 
@@ -386,29 +377,3 @@
 
 // Close does nothing: the body ends with the call.
 func (requestBody) Close() error { return nil }
-
-// emptyBody is a body that net/http does not know to be empty.
-type emptyBody struct{}
-
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-func (emptyBody) Close() error             { return nil }
-
-// forbidReplay keeps http.Transport from sending the request again after it
-// was written to an idle connection that broke. The transport repeats requests
-// without a body whose method is idempotent or that carry an idempotency key.
-func forbidReplay(r *http.Request) {
-	for _, name := range []string{HeaderKey, "X-Idempotency-Key"} {
-		if v, ok := r.Header[name]; ok {
-			// The transport looks for the canonical name only; header names
-			// are case-insensitive for the backend server.
-			delete(r.Header, name)
-			r.Header[strings.ToLower(name)] = v
-		}
-	}
-	switch r.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		if r.Body == nil {
-			r.Body, r.ContentLength = emptyBody{}, -1
-		}
-	}
-}
