Survive SIGHUP, and cost the store and memory less on larger fleets

Ruled out: duties for reading the store (a reader for each zone with liveness over the overlay): the pause between questions gets most of it.

--- a/thcommand/status.go
+++ b/thcommand/status.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	return RunDaemon(c.session.ctx, v)
+	return RunDaemon(c.session.ctx, v, c.session.shared.Settings)
 }
 
 type settingsCheck struct {
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -43,6 +43,7 @@
 // Daemon is one daemon. Set the exported fields before Run.
 type Daemon struct {
 	Settings thsettings.Settings
+	File     string // that Settings were read from
 	Clock    clockwork.Clock
 	Log      hclog.Logger
 
@@ -95,11 +96,13 @@
 	Stop()
 }
 
-// Run runs a daemon until ctx ends, then stops it gracefully.
-func Run(ctx context.Context, s thsettings.Settings) error {
-	tuneMemory()
+// Run runs a daemon until ctx ends, then stops it gracefully. The settings come
+// from a file, which is read again on SIGHUP.
+func Run(ctx context.Context, s thsettings.Settings, file string) error {
+	tuneMemory(s.Memory)
 	log := hclog.New(&hclog.LoggerOptions{Name: "turmerichaven", Level: hclog.LevelFromString(s.Log.Level)})
 	d := &Daemon{Settings: s, Log: log.With("daemon", s.Daemon.Name, "zone", s.Daemon.Zone)}
+	d.File = file
 	return d.Run(ctx)
 }
 
@@ -111,6 +114,9 @@
 		d.Log = hclog.NewNullLogger()
 	}
 	d.started = d.Clock.Now()
+	reload, stopReload := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopReload()
+	d.watchSignals(reload)
 	d.failed = make(chan error, 8)
 	d.build()
 	live, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -20,8 +20,9 @@
 func (d *Daemon) buildRows() {
 	s := d.Settings
 	follower := &thsync.Follower{
-		Source: &hosted.Operator{Store: d.platform.rows}, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"),
+		Source: &hosted.Operator{Store: d.platform.rows}, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"), Apply: s.Platform.Apply,
 	}
+	d.dialer.Sessions = 1
 	registry := &thserver.Registry{
 		Service: s.Server.Service, Address: s.Server.Address, Clock: d.Clock, Log: d.Log.Named("server"),
 	}
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -16,6 +16,7 @@
 	Server   ServerSettings   // The backend server beside the daemon.
 	Limits   LimitsSettings   // Limits on calls.
 	Budget   BudgetSettings   // Repeats that the whole fleet may send to a service in any window, with kind rows.
+	Memory   MemorySettings   // Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.
 	Stop     StopSettings     // Graceful shutdown.
 	Log      LogSettings      // Logging.
 }
@@ -41,6 +42,7 @@
 type PlatformSettings struct {
 	Kind    string         // What the platform offers: tables (DynamoDB and S3 API, edited by the operator commands) or rows (a store of rows in which operators write the configuration themselves).
 	Store   netip.AddrPort // Address of the store of rows; needed by kind rows, which needs none of the other keys.
+	Apply   time.Duration  // Time within which a change in the store of rows has to be in effect.
 	Table   string         // URL of the table service.
 	Name    string         // Name of the table.
 	Object  string         // URL of the object store.
@@ -80,6 +82,12 @@
 	Window time.Duration // Length of the window.
 }
 
+// MemorySettings is section [memory]. Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.
+type MemorySettings struct {
+	Growth int // Growth of the heap, in percent, at which it is collected. A daemon's live heap is some 10 MB: with 100 the many short-lived objects of heavy traffic cause several collections a second, which delay calls; with 800 the peak is several times as high.
+	Limit  int // Memory near which the heap is collected more often.
+}
+
 // StopSettings is section [stop]. Graceful shutdown.
 type StopSettings struct {
 	Notice time.Duration // Time between the notice to the fleet and the end of accepting calls.
@@ -91,7 +99,7 @@
 	Level string // Lowest level that is logged.
 }
 
-var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "stop", "log"}
+var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "memory", "stop", "log"}
 
 var keys = []key{
 	{section: "daemon", name: "name", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Name, err = checkDaemonName(v); return err }},
@@ -105,6 +113,7 @@
 	{section: "listen", name: "ready", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Listen.Ready, err = checkListenReady(v); return err }},
 	{section: "platform", name: "kind", fallback: "tables", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Kind, err = checkPlatformKind(v); return err }},
 	{section: "platform", name: "store", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Store, err = checkPlatformStore(v); return err }},
+	{section: "platform", name: "apply", fallback: "2s", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Apply, err = checkPlatformApply(v); return err }},
 	{section: "platform", name: "table", fallback: "", need: "all", set: func(s *Settings, v string) (err error) { s.Platform.Table, err = checkPlatformTable(v); return err }},
 	{section: "platform", name: "name", fallback: "turmerichaven", need: "", set: func(s *Settings, v string) (err error) { s.Platform.Name, err = checkPlatformName(v); return err }},
 	{section: "platform", name: "object", fallback: "", need: "all", set: func(s *Settings, v string) (err error) { s.Platform.Object, err = checkPlatformObject(v); return err }},
@@ -129,6 +138,8 @@
 	{section: "budget", name: "ratio", fallback: "0.2", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Ratio, err = checkBudgetRatio(v); return err }},
 	{section: "budget", name: "slack", fallback: "50", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Slack, err = checkBudgetSlack(v); return err }},
 	{section: "budget", name: "window", fallback: "10s", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Window, err = checkBudgetWindow(v); return err }},
+	{section: "memory", name: "growth", fallback: "800", need: "", set: func(s *Settings, v string) (err error) { s.Memory.Growth, err = checkMemoryGrowth(v); return err }},
+	{section: "memory", name: "limit", fallback: "200MiB", need: "", set: func(s *Settings, v string) (err error) { s.Memory.Limit, err = checkMemoryLimit(v); return err }},
 	{section: "stop", name: "notice", fallback: "1s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Notice, err = checkStopNotice(v); return err }},
 	{section: "stop", name: "grace", fallback: "60s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Grace, err = checkStopGrace(v); return err }},
 	{section: "log", name: "level", fallback: "info", need: "", set: func(s *Settings, v string) (err error) { s.Log.Level, err = checkLogLevel(v); return err }},
@@ -156,6 +167,10 @@
 
 func checkPlatformStore(v string) (netip.AddrPort, error) { return parseAddress(v) }
 
+func checkPlatformApply(v string) (time.Duration, error) {
+	return parseDuration(v, 100*time.Millisecond, 60*time.Second)
+}
+
 func checkPlatformTable(v string) (string, error) { return parseURL(v) }
 
 func checkPlatformName(v string) (string, error) { return parseLabel(v) }
@@ -206,6 +221,10 @@
 	return parseDuration(v, 1*time.Second, 600*time.Second)
 }
 
+func checkMemoryGrowth(v string) (int, error) { return parseCount(v, 10, 10000) }
+
+func checkMemoryLimit(v string) (int, error) { return parseBytes(v, "16MiB", "1023MiB") }
+
 func checkStopNotice(v string) (time.Duration, error) {
 	return parseDuration(v, 0*time.Second, 30*time.Second)
 }
@@ -249,6 +268,8 @@
 	"#kind = tables\n" +
 	"# Address of the store of rows; needed by kind rows, which needs none of the other keys.\n" +
 	"#store = \n" +
+	"# Time within which a change in the store of rows has to be in effect. (100ms to 1m)\n" +
+	"#apply = 2s\n" +
 	"# URL of the table service.\n" +
 	"table = http://127.0.0.1:9000\n" +
 	"# Name of the table.\n" +
@@ -304,6 +325,13 @@
 	"# Length of the window. (1s to 10m)\n" +
 	"#window = 10s\n" +
 	"\n" +
+	"# Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.\n" +
+	"[memory]\n" +
+	"# Growth of the heap, in percent, at which it is collected. A daemon's live heap is some 10 MB: with 100 the many short-lived objects of heavy traffic cause several collections a second, which delay calls; with 800 the peak is several times as high. (10 to 10000)\n" +
+	"#growth = 800\n" +
+	"# Memory near which the heap is collected more often. (16MiB to 1023MiB)\n" +
+	"#limit = 200MiB\n" +
+	"\n" +
 	"# Graceful shutdown.\n" +
 	"[stop]\n" +
 	"# Time between the notice to the fleet and the end of accepting calls. (0s to 30s)\n" +
@@ -354,6 +382,7 @@
 	"| --- | --- | --- | --- | --- | --- |\n" +
 	"| `kind` | choice | tables, rows | `tables` | no | What the platform offers: tables (DynamoDB and S3 API, edited by the operator commands) or rows (a store of rows in which operators write the configuration themselves). |\n" +
 	"| `store` | address |  |  | no | Address of the store of rows; needed by kind rows, which needs none of the other keys. |\n" +
+	"| `apply` | duration | 100ms to 1m | `2s` | no | Time within which a change in the store of rows has to be in effect. |\n" +
 	"| `table` | url |  |  | yes | URL of the table service. |\n" +
 	"| `name` | label |  | `turmerichaven` | no | Name of the table. |\n" +
 	"| `object` | url |  |  | yes | URL of the object store. |\n" +
@@ -404,6 +433,15 @@
 	"| `slack` | ratio | 0 to 100000 | `50` | no | Repeats beyond the ratio, over the fleet. |\n" +
 	"| `window` | duration | 1s to 10m | `10s` | no | Length of the window. |\n" +
 	"\n" +
+	"## [memory]\n" +
+	"\n" +
+	"Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.\n" +
+	"\n" +
+	"| key | type | range | default | required | meaning |\n" +
+	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `growth` | count | 10 to 10000 | `800` | no | Growth of the heap, in percent, at which it is collected. A daemon's live heap is some 10 MB: with 100 the many short-lived objects of heavy traffic cause several collections a second, which delay calls; with 800 the peak is several times as high. |\n" +
+	"| `limit` | bytes | 16MiB to 1023MiB | `200MiB` | no | Memory near which the heap is collected more often. |\n" +
+	"\n" +
 	"## [stop]\n" +
 	"\n" +
 	"Graceful shutdown.\n" +
--- /dev/null
+++ b/thstandin/rows.go
@@ -0,0 +1,322 @@
+package thstandin
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmerichaven/turmerichaven/thclock"
+)
+
+// Limits of the stand-in's answers.
+const (
+	rowsPage    = 500
+	rowsWaitMax = 30 * time.Second
+)
+
+// Row is a row of a store of rows.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     uint64 `json:"ver"`
+	Dropped bool   `json:"tombstone,omitempty"`
+}
+
+// RowFaults are what goes wrong at a store of rows.
+type RowFaults struct {
+	Down   bool          // every call is answered 503
+	Silent bool          // no call is answered
+	Lost   bool          // writes take effect and their connections break
+	Late   time.Duration // lost writes take effect only after this time
+	Slow   time.Duration // added to each call
+	Refuse []string      // IP numbers of callers that are answered 503
+}
+
+// Rows serves the protocol of the users' store: rows with one version counter,
+// transactions with preconditions, ranges, and a feed of changes. State is in
+// memory. The zero value is empty and works.
+type Rows struct {
+	Clock clockwork.Clock
+
+	mutex   sync.Mutex
+	rows    map[rowKey]Row
+	history []Row // in order of versions, dropped rows included
+	since   uint64
+	ver     uint64
+	changed chan struct{} // closed with the next change
+	faults  RowFaults
+	reads   int
+	writes  int
+}
+
+type rowKey struct{ table, part, key string }
+
+// rowsAnswer is the body of all answers.
+type rowsAnswer struct {
+	Rows []Row   `json:"rows,omitempty"`
+	More bool    `json:"has_more"`
+	Ver  uint64  `json:"ver"`
+	Now  float64 `json:"now_s"`
+}
+
+// rowEntry is an entry of a transaction.
+type rowEntry struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	Ver   uint64 `json:"ver"`
+}
+
+func (e rowEntry) key() rowKey { return rowKey{e.Table, e.Part, e.Key} }
+
+type rowsTransaction struct {
+	Conditions []rowEntry `json:"precondition"`
+	Writes     []rowEntry `json:"writes"`
+	Deletes    []rowEntry `json:"deletes"`
+}
+
+// ServeHTTP serves the store's calls to daemons.
+func (s *Rows) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults()
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	// net/http notices a caller that goes away only after the body has been read.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if f.Slow > 0 {
+		thclock.Or(s.Clock).Sleep(f.Slow)
+	}
+	if f.Down || slices.Contains(f.Refuse, host) {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /api/rows-get":
+		s.get(w, r)
+	case "GET /api/rows-feed":
+		s.feed(w, r)
+	case "POST /api/rows-tx":
+		s.transact(w, r, f)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// Faults returns the faults in force.
+func (s *Rows) Faults() RowFaults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the faults. Questions that are held are answered first.
+func (s *Rows) SetFaults(f RowFaults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = f
+	s.signal()
+}
+
+// Calls returns the calls that were answered.
+func (s *Rows) Calls() (reads, writes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reads, s.writes
+}
+
+// Forget drops the history, so that feeds from earlier versions fail.
+func (s *Rows) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.since = nil, s.ver
+}
+
+// Put writes a row as an operator does and returns its version; a nil value
+// drops it.
+func (s *Rows) Put(table, part, key string, value []byte) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ver++
+	s.apply(rowKey{table, part, key}, value, value == nil)
+	s.signal()
+	return s.ver
+}
+
+// Row returns a row.
+func (s *Rows) Row(table, part, key string) (Row, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	r, found := s.rows[rowKey{table, part, key}]
+	return r, found
+}
+
+func (s *Rows) signal() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+func (s *Rows) apply(k rowKey, value []byte, dropped bool) {
+	if s.rows == nil {
+		s.rows = map[rowKey]Row{}
+	}
+	r := Row{Table: k.table, Part: k.part, Key: k.key, Value: value, Ver: s.ver, Dropped: dropped}
+	if dropped {
+		delete(s.rows, k)
+	} else {
+		s.rows[k] = r
+	}
+	s.history = append(s.history, r)
+}
+
+func (s *Rows) answer(w http.ResponseWriter, code int, a rowsAnswer) {
+	a.Ver, a.Now = s.ver, float64(thclock.Or(s.Clock).Now().UnixMilli())/1000
+	writeJSON(w, code, "application/json", a)
+}
+
+func (s *Rows) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit > rowsPage {
+		limit = rowsPage
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.reads++
+	var a rowsAnswer
+	for k, v := range s.rows {
+		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && (q.Get("target") == "" || k.key < q.Get("target")) {
+			a.Rows = append(a.Rows, v)
+		}
+	}
+	slices.SortFunc(a.Rows, func(x, y Row) int { return strings.Compare(x.Key, y.Key) })
+	if len(a.Rows) > limit {
+		a.Rows, a.More = a.Rows[:limit], true
+	}
+	s.answer(w, http.StatusOK, a)
+}
+
+func (s *Rows) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	timer := thclock.Or(s.Clock).NewTimer(min(time.Duration(wait)*time.Millisecond, rowsWaitMax))
+	defer timer.Stop()
+	for ended := false; ; {
+		s.mutex.Lock()
+		s.reads++
+		if after < s.since {
+			s.mutex.Unlock()
+			http.Error(w, "history dropped", http.StatusGone)
+			return
+		}
+		var a rowsAnswer
+		for _, h := range s.history {
+			if h.Ver > after && h.Table == q.Get("table") {
+				a.Rows = append(a.Rows, h)
+			}
+		}
+		slices.SortStableFunc(a.Rows, func(x, y Row) int { return cmp.Compare(x.Ver, y.Ver) })
+		down := s.faults.Down
+		if len(a.Rows) > 0 || ended || down {
+			if down {
+				http.Error(w, "unavailable", http.StatusServiceUnavailable)
+			} else {
+				s.answer(w, http.StatusOK, a)
+			}
+			s.mutex.Unlock()
+			return
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mutex.Unlock()
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			ended = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Rows) transact(w http.ResponseWriter, r *http.Request, f RowFaults) {
+	var t rowsTransaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&t); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, e := range slices.Concat(t.Writes, t.Deletes) {
+		if e.Table == "op" || e.Table == "servers" {
+			http.Error(w, "read only", http.StatusForbidden)
+			return
+		}
+	}
+	if f.Late > 0 {
+		thclock.Or(s.Clock).AfterFunc(f.Late, func() { s.commit(t) })
+		lose()
+	}
+	rows, ok := s.commit(t)
+	if f.Lost {
+		lose()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !ok {
+		s.answer(w, http.StatusPreconditionFailed, rowsAnswer{Rows: rows})
+		return
+	}
+	s.answer(w, http.StatusOK, rowsAnswer{})
+}
+
+// commit applies a transaction if its preconditions hold; else it returns
+// their rows.
+func (s *Rows) commit(t rowsTransaction) ([]Row, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.writes++
+	var current []Row
+	holds := true
+	for _, c := range t.Conditions {
+		r := s.rows[c.key()]
+		holds = holds && r.Ver == c.Ver
+		if r.Ver > 0 {
+			current = append(current, r)
+		}
+	}
+	if !holds {
+		return current, false
+	}
+	s.ver++
+	for _, e := range t.Writes {
+		s.apply(e.key(), e.Value, false)
+	}
+	for _, e := range t.Deletes {
+		s.apply(e.key(), nil, true)
+	}
+	s.signal()
+	return nil, true
+}
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -30,12 +30,16 @@
 const (
 	// followWait is how long the source may hold a question for changes; a
 	// connection that has gone silent is found by its keep-alive probes.
-	followWait     = 25 * time.Second
-	followBackoff  = 50 * time.Millisecond // after the first failure, doubled up to followRetry
-	followRetry    = time.Second           // a change must be in force within two seconds
-	followTick     = 250 * time.Millisecond
-	followFetch    = time.Second // before another member is asked for the same version
-	followLagLimit = 150 * time.Millisecond
+	followWait    = 25 * time.Second
+	followBackoff = 50 * time.Millisecond // after the first failure, doubled up to followRetry
+	followRetry   = time.Second           // a change must be in force within two seconds
+	followTick    = 250 * time.Millisecond
+	followFetch   = time.Second // before another member is asked for the same version
+	// followPause is the part of Apply between a change and the next question.
+	// Changes in quick succession then cost one call for several.
+	followPause = 0.6
+	// followApply is Apply where it is not set.
+	followApply = 2 * time.Second
 )
 
 // Follower holds the snapshot in effect on a daemon whose configuration lies in
@@ -48,6 +52,10 @@
 	Peers  Peers
 	Clock  clockwork.Clock
 	Log    hclog.Logger
+	// Apply is the time within which a change has to be in effect; zero means 2 s.
+	// A daemon that reaches the source reads each change in that time, and asks
+	// other daemons only for versions that it has not found until then.
+	Apply time.Duration
 
 	current   atomic.Pointer[Snapshot]
 	status    atomic.Pointer[Status]
@@ -77,6 +85,9 @@
 	if f.Log == nil {
 		f.Log = hclog.NewNullLogger()
 	}
+	if f.Apply == 0 {
+		f.Apply = followApply
+	}
 	f.Peers.Handle(thwire.TypeFetch, f.handleFetch)
 	f.Peers.Handle(thwire.TypeBatch, f.handleBatch)
 	ctx, f.cancel = context.WithCancel(ctx)
@@ -144,6 +155,7 @@
 		backoff = followBackoff
 		if o != nil {
 			f.take(o)
+			f.sleep(ctx, time.Duration(followPause*float64(f.Apply)))
 		}
 	}
 }
@@ -260,7 +272,7 @@
 	if f.behind.IsZero() {
 		f.behind = now
 	}
-	if now.Sub(f.behind) < followLagLimit || now.Sub(f.asked) < followFetch {
+	if now.Sub(f.behind) < f.Apply || now.Sub(f.asked) < followFetch {
 		return ""
 	}
 	f.asked = now
--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -30,6 +30,9 @@
 	Hello func() Hello // first frame of each session
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Clock clockwork.Clock
+	// Sessions is how many sessions a peer may get; zero means 2. One takes half
+	// the memory and is enough where calls are small.
+	Sessions int
 
 	mutex  sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -163,7 +166,11 @@
 	if now.Before(p.away) {
 		return nil, nil, therror.New(therror.Leaving, "peer %s is leaving", address)
 	}
-	if len(p.sessions) < sessionsPerPeer && p.dialing == nil && !now.Before(p.notUntil) {
+	most := d.Sessions
+	if most == 0 {
+		most = sessionsPerPeer
+	}
+	if len(p.sessions) < most && p.dialing == nil && !now.Before(p.notUntil) {
 		p.dialing = make(chan struct{})
 		d.dials.Go(func() { d.dial(address, p) })
 	}
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -23,7 +23,7 @@
 	maxStreams    = 1024      // streams in progress; more are refused as Full
 	maxBuffered   = 128 << 20 // bytes received and not read, over all streams
 	lastStream    = 1 << 31   // a session that has opened as many is replaced
-	sessionBuffer = 64 << 10
+	sessionBuffer = 16 << 10
 	pingEvery     = 500 * time.Millisecond
 	// silence of a peer with streams in progress after which it counts as frozen:
 	// it has had pingEvery to answer a ping, and a safe call with the usual
