Let calls wait as long as their latency objective allows, not longer

Change: a call is refused at arrival when waiting and serving would take longer than its objective, or half of the time left where that is longer. A caller that comes back (less time than the route's callers usually send) may wait up to 0.8 of its time. Among equal priority the earliest due time goes first, which puts short inner calls before new requests. A daemon that holds a newer version than before is not "behind" any more.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -1,6 +1,7 @@
 package thadmit
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -19,9 +20,13 @@
 	timeFirst  = 100 * time.Millisecond // service time of a route without an answer yet
 	timeLeast  = time.Millisecond
 	rateWindow = time.Second // in which a cold server's calls are counted
-	// waitMargin is the part of the time left that waiting and serving may fill:
-	// service times vary, and the answer has to travel back.
-	waitMargin  = 0.8
+	// waitMargin is the part of the time left that waiting and serving may fill
+	// where the latency objective can't be met any more: service times vary, and
+	// the answer has to travel back.
+	waitMargin = 0.8
+	// goalMargin is the same where the objective can be met, and longer than this
+	// part. A queue that all leave too late for it serves no more calls.
+	goalMargin  = 0.5
 	refuseLeast = 50 * time.Millisecond // shortest time after which a refused call may come back
 	refuseMost  = 2 * time.Second
 )
@@ -53,7 +58,9 @@
 type ticket struct {
 	route    string
 	priority int
+	due      time.Time // of the latency objective; the deadline where there is none
 	deadline time.Time
+	limit    time.Duration // longest time for waiting and serving
 	done     chan struct{} // closed when decided
 	err      error         // nil: admitted
 }
@@ -104,14 +111,9 @@
 	if !ok {
 		deadline = now.Add(time.Duration(o.Deadline))
 	}
-	t := &ticket{route: o.Route, priority: o.Priority, deadline: deadline, done: make(chan struct{})}
-	at, _ := slices.BinarySearchFunc(s.queue, t, func(a, b *ticket) int {
-		if a.priority <= b.priority {
-			return -1
-		}
-		return 1
-	})
-	if wait := s.wait(at, now); !s.inTime(t, wait, now) {
+	t := newTicket(o, deadline, now)
+	at, _ := slices.BinarySearchFunc(s.queue, t, (*ticket).compare)
+	if wait := s.wait(at, now); wait+s.time(t.route) > t.limit {
 		return nil, s.full(wait)
 	}
 	s.queue = slices.Insert(s.queue, at, t)
@@ -120,9 +122,29 @@
 	return t, nil
 }
 
-// inTime reports whether a call that waits this long can be served before its deadline.
-func (s *Scheduler) inTime(t *ticket, wait time.Duration, now time.Time) bool {
-	return float64(wait+s.time(t.route)) <= waitMargin*float64(t.deadline.Sub(now))
+func newTicket(o *thwire.Open, deadline, now time.Time) *ticket {
+	left := deadline.Sub(now)
+	t := &ticket{
+		route: o.Route, priority: o.Priority, due: deadline, deadline: deadline,
+		limit: time.Duration(waitMargin * float64(left)), done: make(chan struct{}),
+	}
+	if goal := time.Duration(o.Goal); goal > 0 && goal < left {
+		t.due = now.Add(goal)
+		t.limit = min(max(goal, time.Duration(goalMargin*float64(left))), t.limit)
+	}
+	return t
+}
+
+// compare orders by priority, then by due time, then by arrival: a new ticket
+// goes behind its equals.
+func (t *ticket) compare(n *ticket) int {
+	if c := cmp.Compare(t.priority, n.priority); c != 0 {
+		return c
+	}
+	if t.due.After(n.due) {
+		return 1
+	}
+	return -1
 }
 
 // prune refuses those of the queued calls, from a position on, that can no
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -101,8 +101,9 @@
 	Clock    clockwork.Clock
 	Log      hclog.Logger
 
-	budgets budgets
-	splits  splits
+	budgets  budgets
+	splits   splits
+	patience patience
 }
 
 // call is one call on its way through the ingress.
@@ -216,7 +217,10 @@
 		Version: version, Route: route.Name, Pool: c.pool, Class: route.Class, Method: r.Method,
 		Target: target(r), Host: r.Host, Header: names.forward(r), Deadline: int64(timeout),
 		Depth: int(depth), Once: route.Repeat != thconfig.RepeatSafe,
-		Priority: route.Priority, Goal: int64(route.Target),
+		Priority: route.Priority,
+	}
+	if !c.patience.returned(route.Name, deadline) {
+		c.open.Goal = int64(route.Target)
 	}
 	if names.Caller != "" {
 		c.open.Header = append(without(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.Caller})
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -66,7 +66,8 @@
 	latest  *thconfig.Orders
 	config  thconfig.Config // last valid one
 	lastErr error
-	behind  time.Time // since when another daemon is known to hold a newer version
+	behind  time.Time // since when another daemon is known to hold a newer version than
+	held    uint64    // this one
 	asked   time.Time
 	parts   thconfig.Tables // tables that arrive in several batches
 	from    string          // their sender
@@ -181,6 +182,10 @@
 func (f *Follower) take(o *thconfig.Orders) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if o.Config.Number == 0 && o.Fault == nil && f.config.Number == 0 {
+		f.Log.Info("no configuration yet", "version", o.Version)
+		return
+	}
 	err := o.Fault
 	if err == nil {
 		err = o.Config.Check()
@@ -269,8 +274,8 @@
 		f.behind = time.Time{}
 		return ""
 	}
-	if f.behind.IsZero() {
-		f.behind = now
+	if f.behind.IsZero() || f.held != own {
+		f.behind, f.held = now, own
 	}
 	if now.Sub(f.behind) < f.Apply || now.Sub(f.asked) < followFetch {
 		return ""
