Bind a daemon to the end of its backend server over a restart

Cause: a daemon that has acknowledged a leaving instance and is killed at once could take a late "ready" heartbeat for a new one. Tests of the follower found a second fault: tables of more than one part were never taken from a member, since an empty digest is decoded as empty, not nil.

Ruled out: trusting only fresh heartbeats (an instance that deregisters first sends none any more, and a delayed one can't be told from a fresh one after a restart).

Change: thstore.Leave and Left, one row for each instance that leaves, written before the acknowledgement and looked up before the first heartbeat after a restart; neither waits for a store that is down. The last part of a batch is known by its digest's length. Tests of scheduler (inner calls, bursts, cold rate), registry (late, former and forged heartbeats), follower (bad configurations, order, parts).

TestFollowerTakesTablesOfMembers fails on the former code.

--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"time"
 
 	hosted "github.com/turmerichaven/turmerichaven/platform"
 	"github.com/turmerichaven/turmerichaven/thadmit"
@@ -28,7 +29,7 @@
 	}
 	scheduler := &thadmit.Scheduler{Clock: d.Clock}
 	d.holder, d.gate, d.server = follower, schedule{scheduler}, idle{}
-	d.local, d.readiness = hosted.Control(registry.Take), hosted.Readiness(d.reasons)
+	d.local, d.readiness = hosted.Control(d.taker(registry)), hosted.Readiness(d.reasons)
 	d.mover.Finisher = reporter{d.platform.rows}
 	d.target.Headers, d.direct.Headers = hosted.Headers(), hosted.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
@@ -52,6 +53,53 @@
 	})
 }
 
+// Limits of the store calls that a heartbeat waits for; its sender gives up
+// after a second.
+const (
+	leftTimeout  = 300 * time.Millisecond
+	leaveTimeout = 700 * time.Millisecond
+)
+
+// taker returns the function that takes heartbeats. The end of an instance is
+// recorded in the store before it is acknowledged, and looked up before the
+// first heartbeat after a start is taken: one that was sent before the end may
+// still arrive. Neither waits for a store that does not answer.
+func (d *Daemon) taker(registry *thserver.Registry) func(thserver.Beat) error {
+	var mutex sync.Mutex // guards recorded, and lets one look-up run
+	recorded := ""
+	return func(b thserver.Beat) error {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if registry.Current() == nil && d.Settings.Daemon.Bootstrap != "true" && !b.Gone && !b.Leaving {
+			d.lookUp(registry, b.Instance)
+		}
+		if err := registry.Take(b); err != nil {
+			return err
+		}
+		if e := registry.Current(); e != nil && e.Instance == b.Instance && (e.Leaving || e.Gone) && recorded != b.Instance {
+			recorded = b.Instance
+			ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+			defer cancel()
+			if err := d.platform.Leave(ctx, e.Instance, e.Born); err != nil {
+				d.Log.Warn("end of an instance not recorded", "instance", e.Instance, "error", err)
+			}
+		}
+		return nil
+	}
+}
+
+func (d *Daemon) lookUp(registry *thserver.Registry, instance string) {
+	ctx, cancel := context.WithTimeout(context.Background(), leftTimeout)
+	defer cancel()
+	born, found, err := d.platform.Left(ctx, instance)
+	if err != nil {
+		d.Log.Warn("earlier end of an instance not looked up", "instance", instance, "error", err)
+	}
+	if found {
+		registry.Bind(instance, born)
+	}
+}
+
 // beside tells the other parts of the backend server beside the daemon.
 type beside struct {
 	*Daemon
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -23,9 +23,10 @@
 
 // DaemonSettings is section [daemon]. Identity of this daemon.
 type DaemonSettings struct {
-	Name   string // Unique name of the daemon in the fleet.
-	Zone   string // Availability zone that the daemon runs in.
-	Region string // Region that the availability zone belongs to.
+	Name      string // Unique name of the daemon in the fleet.
+	Zone      string // Availability zone that the daemon runs in.
+	Region    string // Region that the availability zone belongs to.
+	Bootstrap string // Whether the whole system starts for the first time. With kind rows a daemon then looks for no earlier backend server of its own.
 }
 
 // ListenSettings is section [listen]. Addresses that the daemon listens on: an IP number and a port each.
@@ -105,6 +106,7 @@
 	{section: "daemon", name: "name", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Name, err = checkDaemonName(v); return err }},
 	{section: "daemon", name: "zone", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Zone, err = checkDaemonZone(v); return err }},
 	{section: "daemon", name: "region", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Region, err = checkDaemonRegion(v); return err }},
+	{section: "daemon", name: "bootstrap", fallback: "false", need: "", set: func(s *Settings, v string) (err error) { s.Daemon.Bootstrap, err = checkDaemonBootstrap(v); return err }},
 	{section: "listen", name: "ingress", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Listen.Ingress, err = checkListenIngress(v); return err }},
 	{section: "listen", name: "peer", fallback: "", need: "daemon", set: func(s *Settings, v string) (err error) { s.Listen.Peer, err = checkListenPeer(v); return err }},
 	{section: "listen", name: "announce", fallback: "", need: "", set: func(s *Settings, v string) (err error) { s.Listen.Announce, err = checkListenAnnounce(v); return err }},
@@ -151,6 +153,8 @@
 
 func checkDaemonRegion(v string) (string, error) { return parseName(v) }
 
+func checkDaemonBootstrap(v string) (string, error) { return parseChoice(v, "true,false") }
+
 func checkListenIngress(v string) (netip.AddrPort, error) { return parseAddress(v) }
 
 func checkListenPeer(v string) (netip.AddrPort, error) { return parseAddress(v) }
@@ -246,6 +250,8 @@
 	"zone = sapporo\n" +
 	"# Region that the availability zone belongs to.\n" +
 	"region = hokkaido\n" +
+	"# Whether the whole system starts for the first time. With kind rows a daemon then looks for no earlier backend server of its own. (true, false)\n" +
+	"#bootstrap = false\n" +
 	"\n" +
 	"# Addresses that the daemon listens on: an IP number and a port each.\n" +
 	"[listen]\n" +
@@ -360,6 +366,7 @@
 	"| `name` | name |  |  | by the daemon | Unique name of the daemon in the fleet. |\n" +
 	"| `zone` | name |  |  | by the daemon | Availability zone that the daemon runs in. |\n" +
 	"| `region` | name |  |  | by the daemon | Region that the availability zone belongs to. |\n" +
+	"| `bootstrap` | choice | true, false | `false` | no | Whether the whole system starts for the first time. With kind rows a daemon then looks for no earlier backend server of its own. |\n" +
 	"\n" +
 	"## [listen]\n" +
 	"\n" +
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -339,7 +339,7 @@
 	} else {
 		f.parts.Routes = append(f.parts.Routes, m.Tables.Routes...)
 	}
-	if m.Digest == nil {
+	if len(m.Digest) == 0 { // further parts follow
 		return
 	}
 	t := f.parts
