Catch up with the store after an outage in one read

A daemon that the store had turned away for 10 s resumed the feed where it had left it.

Ruled out: silent connections (the log shows answers all the while); the pause alone (the next answer would have been current).

Change: after a failure everything is read anew, which holds only what is in effect; no pause after an answer that holds several changes. TestFeedTellsOfSeveralChanges fails on the former code.

--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -146,6 +146,8 @@
 				lost = f.Clock.Now()
 				f.Log.Warn("configuration source lost", "version", f.version(), "error", err)
 			}
+			// What was missed may be long; what holds now is short.
+			f.Source.Again()
 			f.sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, followRetry)
 			continue
@@ -156,7 +158,9 @@
 		backoff = followBackoff
 		if o != nil {
 			f.take(o)
-			f.sleep(ctx, time.Duration(followPause*float64(f.Apply)))
+			if !o.Several {
+				f.sleep(ctx, time.Duration(followPause*float64(f.Apply)))
+			}
 		}
 	}
 }
