Split the preparation of a call, tidy the module

Cause: the linter: prepare had a complexity of 21, a result was unused. Ruled out: raising the limit. Conclusion: no change in behaviour.

--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -226,30 +226,47 @@
 		c.open.Header = append(without(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.Caller})
 	}
 	c.plain = len(c.open.Header)
-	if keys := r.Header[names.Key]; len(keys) > 0 && c.open.Once {
-		if len(keys) > 1 {
-			return therror.New(therror.Bad, "%d idempotency keys", len(keys))
-		}
-		if err := thonce.CheckKey(keys[0]); err != nil {
-			return err
-		}
-		c.open.Key = keys[0]
+	if err := c.takeKey(r.Header[names.Key]); err != nil {
+		return err
 	}
-	if c.Mover != nil {
-		move, to, share, running := c.Mover.Share(route.Name)
-		if !running {
-			move, to, share, running = c.Mover.SharePool(c.pool)
-		}
-		if running {
-			c.move = move
-			if rand.Float64() < share {
-				c.open.Pool = to
-			}
-		}
+	c.applyMove()
+	return nil
+}
+
+// takeKey takes the idempotency key of a call that may run once.
+func (c *call) takeKey(keys []string) error {
+	if len(keys) == 0 || !c.open.Once {
+		return nil
 	}
+	if len(keys) > 1 {
+		return therror.New(therror.Bad, "%d idempotency keys", len(keys))
+	}
+	if err := thonce.CheckKey(keys[0]); err != nil {
+		return err
+	}
+	c.open.Key = keys[0]
 	return nil
 }
 
+// applyMove sends the share of a running move of the route, or of its pool, to
+// the new version.
+func (c *call) applyMove() {
+	if c.Mover == nil {
+		return
+	}
+	move, to, share, running := c.Mover.Share(c.route.Name)
+	if !running {
+		move, to, share, running = c.Mover.SharePool(c.pool)
+	}
+	if !running {
+		return
+	}
+	c.move = move
+	if rand.Float64() < share {
+		c.open.Pool = to
+	}
+}
+
 // target returns the path and query of a request as they were sent.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/thsettings/parse.go
+++ b/thsettings/parse.go
@@ -105,7 +105,6 @@
 	return d, nil
 }
 
-//nolint:unparam // schema.ini decides which ranges there are
 func parseCount(v string, least, most int) (int, error) {
 	n, err := strconv.Atoi(v)
 	if err != nil {
