--- a/thfleet/process.go
+++ b/thfleet/process.go
@@ -50,6 +50,11 @@
 	return p, nil
 }
 
+// StartDaemon starts a daemon with a settings file; log is the file for its output.
+func StartDaemon(name, log, binary, settings string) (*Process, error) {
+	return start(name, log, binary, nil, "daemon", "--settings", settings)
+}
+
 // ID returns the process id.
 func (p *Process) ID() int { return p.cmd.Process.Pid }
 
