Choose backend servers by their pace, and read the store once for many changes

Cause: calls of the same service took up to twice as long at slow servers, which got as many as fast ones.

Ruled out: choice by the shortest expected time over all zones (bytes between zones cost more than the time gained at small sites).

Change: targets tell the time of a route's calls with each answer, and the balancer weighs load by a server's time against the usual one, with some weight on pace at low load. After the pause a full read replaces the feed. Half of the fleet's repeats are used in place of a quarter, half of that by calls of low priority.

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -45,6 +45,8 @@
 	view   atomic.Pointer[view]
 	random sync.Mutex // guards Random
 
+	times sync.Map // route to *atomic.Int64: usual time of a call in ns
+
 	update  sync.Mutex // guards the fields below
 	states  map[string]*state
 	returns map[string]zoneReturn
@@ -345,3 +347,19 @@
 	})
 	return list
 }
+
+// usual returns the time in ns that calls of a route usually take, after
+// counting one server's time.
+func (b *Balancer) usual(route string, d time.Duration) int64 {
+	v, found := b.times.Load(route)
+	if !found {
+		first := &atomic.Int64{}
+		first.Store(int64(d))
+		v, _ = b.times.LoadOrStore(route, first)
+	}
+	mean := v.(*atomic.Int64)
+	old := mean.Load()
+	next := max(old+(int64(d)-old)/usualGain, 1)
+	mean.Store(next) // an update that is lost in a race does no harm
+	return next
+}
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -21,11 +21,18 @@
 	lateMin = 250 * time.Millisecond
 	// loadAge is how long an advertised load counts; servers that get no calls
 	// would otherwise stay busy in this daemon's view forever.
-	loadAge     = time.Second
-	avoidFull   = 50 * time.Millisecond // without a retry time
-	avoidLeave  = time.Second           // without a retry time
-	avoidMax    = 5 * time.Second       // bounds a retry time from the wire
-	startShare  = 10                    // a starting server is assumed to handle slots/startShare calls
+	loadAge    = time.Second
+	avoidFull  = 50 * time.Millisecond // without a retry time
+	avoidLeave = time.Second           // without a retry time
+	avoidMax   = 5 * time.Second       // bounds a retry time from the wire
+	// idleScore is added to the load of each server: among servers with little
+	// load the faster one then gets more calls.
+	idleScore   = 0.25
+	paceUnit    = 1000 // the pace of a server that is as fast as the others
+	paceMost    = 10   // bounds the pace to both sides
+	paceGain    = 4    // 1/paceGain is the weight of a new measurement
+	usualGain   = 32   // 1/usualGain is the weight of one server's time in that of all
+	startShare  = 10   // a starting server is assumed to handle slots/startShare calls
 	unreadyTime = time.Second
 )
 
@@ -49,6 +56,7 @@
 	avoided     atomic.Int64 // until, ns since 1970
 	ejected     atomic.Int64 // until, ns since 1970
 	ejections   atomic.Int64 // in a row
+	pace        atomic.Int64 // time of a call in thousandths of what the pool's servers take; zero if unknown
 	errors      atomic.Int64 // consecutive
 }
 
@@ -71,6 +79,7 @@
 	Load    thwire.Load
 	HasLoad bool          // the target answered and sent Load
 	Retry   time.Duration // retry time of a refusal
+	Route   string
 }
 
 // Begin counts a call as in flight.
@@ -86,6 +95,7 @@
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
 		s.loaded.Store(now.UnixNano())
+		s.measure(r.Route, time.Duration(r.Load.Time))
 	}
 	switch r.Kind {
 	case "":
@@ -225,7 +235,25 @@
 // score is the load by which two candidates compare. The call itself is
 // counted, so that an idle server with few slots doesn't equal one with many.
 func (s *Server) score(now time.Time) float64 {
-	return s.factor * float64(s.inflight.Load()+s.advertised(now.UnixNano())+1) / float64(s.capacity())
+	load := float64(s.inflight.Load()+s.advertised(now.UnixNano())+1) / float64(s.capacity())
+	if p := s.pace.Load(); p > 0 {
+		return s.factor * (idleScore + load) * float64(p) / paceUnit
+	}
+	return s.factor * (idleScore + load)
+}
+
+// measure compares the time that the server takes for calls of a route with
+// that of all servers that this daemon calls on the route.
+func (s *Server) measure(route string, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	mean := s.balancer.usual(route, d)
+	pace := min(max(int64(d)*paceUnit/mean, paceUnit/paceMost), paceUnit*paceMost)
+	if old := s.pace.Load(); old > 0 {
+		pace = old + (pace-old)/paceGain
+	}
+	s.pace.Store(pace)
 }
 
 func (s *Server) weight(now time.Time) float64 {
--- a/thconfig/orders.go
+++ b/thconfig/orders.go
@@ -19,10 +19,6 @@
 	Fault    error // why Config could not be read; nil where it could
 	Rollouts []Rollout
 	Out      []string // availability zones that are out
-
-	// Several says that these orders were read together with earlier ones, so that
-	// later ones may be waiting too.
-	Several bool
 }
 
 // Config is a whole configuration as operators write it.
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -224,7 +224,7 @@
 	c.server = m.Name
 	start := c.now()
 	choice.Begin()
-	result := Result{Kind: therror.Internal}
+	result := Result{Kind: therror.Internal, Route: c.route.Name}
 	defer func() {
 		choice.Done(result)
 		c.observe(m.Name, result)
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -62,6 +62,7 @@
 	Load    thwire.Load
 	HasLoad bool
 	Retry   time.Duration // retry time of a refusal
+	Route   string
 }
 
 // Dialer opens streams to other daemons; *thwire.Dialer is one.
--- a/thproxy/shared.go
+++ b/thproxy/shared.go
@@ -15,7 +15,11 @@
 	// budgetShare is the part of the fleet's limit that the daemons use. The rest
 	// is left for calls that a repeated request makes in turn, which count as
 	// repeats at the services that they reach.
-	budgetShare = 0.25
+	budgetShare = 0.5
+	// lowShare is the part of that which calls of low priority may use: a repeat
+	// of an urgent call or of an inner one saves more work.
+	lowShare    = 0.5
+	lowPriority = 2 // calls of this priority and less urgent ones
 )
 
 // SharedBudget is this daemon's part of a limit on repeats that holds for the
@@ -68,7 +72,7 @@
 }
 
 // Repeat takes one repeat out of the budget; false means that it is spent.
-func (b *SharedBudget) Repeat(pool string, _ int) bool {
+func (b *SharedBudget) Repeat(pool string, priority int) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	c := b.of(pool)
@@ -78,6 +82,9 @@
 		repeats += c.repeat[i]
 	}
 	limit := budgetShare * (b.Ratio*float64(firsts) + b.Slack/float64(max(1, b.Daemons())))
+	if priority >= lowPriority {
+		limit *= lowShare
+	}
 	if float64(repeats+1) > limit {
 		return false
 	}
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -135,7 +135,7 @@
 
 // follow asks the source for changes, one question at a time.
 func (f *Follower) follow(ctx context.Context) {
-	backoff, lost := followBackoff, time.Time{}
+	backoff, lost, seen := followBackoff, time.Time{}, uint64(0)
 	for ctx.Err() == nil {
 		o, err := f.Source.Next(ctx, followWait)
 		switch {
@@ -158,8 +158,11 @@
 		backoff = followBackoff
 		if o != nil {
 			f.take(o)
-			if !o.Several {
+			if o.Version > seen {
+				seen = o.Version
+				// Further changes often follow. One read then replaces them all.
 				f.sleep(ctx, time.Duration(followPause*float64(f.Apply)))
+				f.Source.Again()
 			}
 		}
 	}
