--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -147,8 +147,8 @@
 	return -1
 }
 
-// prune refuses those of the queued calls, from a position on, that can no
-// longer be served in time.
+// prune refuses those of the queued calls, from a position on, that more urgent
+// ones have pushed back so far that they can't be served before their deadline.
 func (s *Scheduler) prune(from int, now time.Time) {
 	for i := from; i < len(s.queue); i++ {
 		t := s.queue[i]
--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/turmerichaven/turmerichaven/thclock"
@@ -27,6 +28,7 @@
 	// zone together filled the queues of its servers (see TestFleetSpreadsLoad).
 	spillShare = 0.6
 	drawTries  = 4
+	emptyRetry = 500 * time.Millisecond // for a pool without servers: one may announce itself, or be learned of
 	// pairTries bounds the search for a server with room before a call leaves a
 	// tier; the two draws of a pair may name the same server.
 	pairTries = 3
@@ -40,7 +42,8 @@
 type Balancer struct {
 	Self   thwire.Member
 	Clock  clockwork.Clock
-	Random *rand.Rand // nil means the runtime's generator, which needs no lock
+	Log    hclog.Logger // nil means none
+	Random *rand.Rand   // nil means the runtime's generator, which needs no lock
 
 	view   atomic.Pointer[view]
 	random sync.Mutex // guards Random
@@ -68,6 +71,7 @@
 // pool holds the candidates ordered by tier: own zone, own region, others.
 // ends[t] is the number of candidates in the tiers up to t.
 type pool struct {
+	name    string
 	servers []*Server
 	ends    [3]int
 	floor   int
@@ -174,7 +178,7 @@
 		}
 	}
 	suspects := live == 0 || live*100 < p.Floor*len(members)
-	n := &pool{floor: p.Floor}
+	n := &pool{name: p.Name, floor: p.Floor}
 	for t := range n.ends {
 		for _, m := range members {
 			if b.tier(m) != t || (m.State == thwire.MemberSuspect && !suspects) {
@@ -224,7 +228,7 @@
 func (b *Balancer) Choose(name string, exclude []string) (*Server, error) {
 	v := b.view.Load()
 	if v == nil || v.pools[name] == nil || len(v.pools[name].servers) == 0 {
-		return nil, therror.New(therror.Unready, "pool %q has no backend server", name).After(time.Second)
+		return nil, therror.New(therror.Unready, "pool %q has no backend server", name).After(emptyRetry)
 	}
 	p, now := v.pools[name], thclock.Or(b.Clock).Now()
 	for t, n := range p.ends {
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -179,6 +179,9 @@
 		d = min(ejectFirst<<(n-1), ejectMax)
 	}
 	s.ejected.Store(at + int64(d))
+	if log := s.balancer.Log; log != nil {
+		log.Info("backend server taken out of use", "pool", p.name, "server", s.Member.Name, "for", d, "in a row", n)
+	}
 	// One more error after the return ejects again; a success clears this.
 	s.errors.Store(ejectErrors - 1)
 }
--- a/thdaemon/announce.go
+++ b/thdaemon/announce.go
@@ -38,11 +38,14 @@
 	// spread is the time over which daemons that start together spread their first
 	// reads. A daemon that others have dialled meanwhile leaves its read out.
 	spread time.Duration
-	node   *thmember.Node
-	clock  clockwork.Clock
-	log    hclog.Logger
-	done   chan struct{}
-	lost   chan struct{} // the table may have lost the announcement
+	// alone says that this daemon starts by itself, among others that run: it
+	// looks for them at once.
+	alone bool
+	node  *thmember.Node
+	clock clockwork.Clock
+	log   hclog.Logger
+	done  chan struct{}
+	lost  chan struct{} // the table may have lost the announcement
 }
 
 func (a *announcer) start(ctx context.Context) {
@@ -56,7 +59,10 @@
 func (a *announcer) run(ctx context.Context) {
 	var next time.Time
 	interval := firstFind
-	wake := a.clock.Now().Add(rand.N(max(a.spread, 1)))
+	wake := a.clock.Now()
+	if !a.alone {
+		wake = wake.Add(rand.N(max(a.spread, 1)))
+	}
 	// A read that was due for want of a neighbour is left out once there is one.
 	lonely, connected := true, false
 	for {
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thlog"
 	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/thmetric"
 	"github.com/turmerichaven/turmerichaven/thmove"
@@ -38,6 +40,7 @@
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10 // bytes of a request's header
 	shareInterval = time.Second
+	logTimeout    = time.Second // for the last lines of a process that ends
 )
 
 // Daemon is one daemon. Set the exported fields before Run.
@@ -72,6 +75,7 @@
 	calls     *http.Server // ingress
 	sessions  sessions
 	updates   updater
+	joined    atomic.Bool // the daemon knows the fleet, or has waited long enough for it
 	draining  atomic.Bool
 	zoneOut   atomic.Bool
 	failed    chan error
@@ -100,7 +104,9 @@
 // from a file, which is read again on SIGHUP.
 func Run(ctx context.Context, s thsettings.Settings, file string) error {
 	tuneMemory(s.Memory)
-	log := hclog.New(&hclog.LoggerOptions{Name: "turmerichaven", Level: hclog.LevelFromString(s.Log.Level)})
+	out := &thlog.Writer{Out: os.Stdout}
+	defer out.Close(logTimeout)
+	log := hclog.New(&hclog.LoggerOptions{Name: "turmerichaven", Level: hclog.LevelFromString(s.Log.Level), Output: out})
 	d := &Daemon{Settings: s, Log: log.With("daemon", s.Daemon.Name, "zone", s.Daemon.Zone)}
 	d.File = file
 	return d.Run(ctx)
@@ -158,7 +164,7 @@
 	d.node = &thmember.Node{Member: self, Clock: d.Clock, Log: d.Log.Named("member")}
 	d.admin = thadmin.Admin{Gatherer: d.metrics.Registry(), Ready: d.reasons, Status: d.status, Log: d.Log.Named("admin")}
 	d.mover = &thmove.Mover{Fleet: fleet{d.node}, Clock: d.Clock, Log: d.Log.Named("move")}
-	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock}
+	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance")}
 	d.buildCalls()
 	if s.Platform.Kind == thsettings.KindRows {
 		d.buildRows()
@@ -172,7 +178,7 @@
 		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target) },
 		Log:     d.Log.Named("wire"),
 	}
-	d.announce = &announcer{store: d.platform.Store, spread: s.Peers.Spread, node: d.node, clock: d.Clock, log: d.Log.Named("announce"), lost: make(chan struct{}, 1)}
+	d.announce = &announcer{store: d.platform.Store, spread: s.Peers.Spread, alone: s.Platform.Kind == thsettings.KindRows && s.Daemon.Bootstrap != "true", node: d.node, clock: d.Clock, log: d.Log.Named("announce"), lost: make(chan struct{}, 1)}
 	d.connect()
 }
 
@@ -272,7 +278,9 @@
 	})
 	d.holder.Watch(func(s *thsync.Snapshot) {
 		zone, found := s.Tables.Zone(d.Settings.Daemon.Zone)
-		d.zoneOut.Store(found && zone.Out)
+		if out := found && zone.Out; d.zoneOut.Swap(out) != out {
+			d.Log.Info("zone of this daemon changed", "out", out, "version", s.Tables.Version)
+		}
 		d.node.KeepFacts(func(move string) bool {
 			m, found := s.Tables.Move(move)
 			return found && m.State == thconfig.MoveRunning
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -13,6 +13,7 @@
 	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/thmetric"
 	"github.com/turmerichaven/turmerichaven/thplatform"
+	"github.com/turmerichaven/turmerichaven/thsettings"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -22,12 +23,41 @@
 	if !d.holder.Ready() {
 		reasons = append(reasons, "no current configuration yet")
 	}
+	if !d.knowsFleet() {
+		reasons = append(reasons, "no other daemon found yet")
+	}
 	if d.draining.Load() {
 		reasons = append(reasons, "daemon is stopping")
 	}
 	return reasons
 }
 
+// joinWait is how long a daemon without any other member waits before it takes
+// calls by itself.
+const joinWait = 3 * time.Second
+
+// knowsFleet reports whether the daemon has learned of the other members. One
+// that has only just started would refuse calls for services of which it knows
+// no backend server.
+func (d *Daemon) knowsFleet() bool {
+	if d.joined.Load() || d.Settings.Platform.Kind != thsettings.KindRows {
+		return true
+	}
+	servers := 0
+	if v := d.node.View(); v != nil {
+		for _, m := range v.Members {
+			if m.State == thwire.MemberAlive && m.Server != nil && m.Name != d.Settings.Daemon.Name {
+				servers++
+			}
+		}
+	}
+	if servers == 0 && d.Clock.Since(d.started) < joinWait {
+		return false
+	}
+	d.joined.Store(true)
+	return true
+}
+
 // status is the answer of /status.
 func (d *Daemon) status() thadmin.Status {
 	reasons := d.reasons() // before the version: a ready daemon has one
--- /dev/null
+++ b/thlog/writer_test.go
@@ -0,0 +1,55 @@
+package thlog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a reader that stops reading and holds up requests.
+func TestStoppedReaderHoldsNobodyUp(t *testing.T) {
+	r, out := io.Pipe() // nobody reads
+	w := &Writer{Out: out, Rate: 1 << 30}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * waiting {
+			_, _ = w.Write([]byte("line\n"))
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a write waited for the reader")
+	}
+	read := make(chan string, 1)
+	go func() {
+		all, _ := io.ReadAll(r)
+		read <- string(all)
+	}()
+	w.Close(5 * time.Second)
+	out.Close()
+	all := <-read
+	assert.Assert(t, strings.Contains(all, "log lines dropped: count="), "%d bytes", len(all))
+	assert.Assert(t, strings.Count(all, "line\n") >= waiting)
+}
+
+// Guards against a volume that grows with the load, and against dropped lines
+// that nobody is told of.
+func TestVolumeIsBounded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var out bytes.Buffer
+	w := &Writer{Out: &out, Rate: 1000, Clock: clock}
+	line := bytes.Repeat([]byte("x"), 1024)
+	for range 2 * burst / len(line) {
+		_, _ = w.Write(line)
+	}
+	w.Close(5 * time.Second)
+	assert.Assert(t, out.Len() <= burst+100, "%d bytes", out.Len())
+	assert.Assert(t, strings.Contains(out.String(), "log lines dropped: count="))
+}
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -259,6 +259,13 @@
 	n.settingsAgain(h)
 	n.start(h)
 	until(h.t, "the daemon is back", func() bool { return n.instance.Beat("ready", 0) == nil })
+	until(h.t, "the daemon is ready", n.ready)
+	// It has no backend server of its own and must know those of the others by now.
+	for i := range 10 {
+		status, body, err := n.call("GET", "/view/x", fmt.Sprint("joined", i), "")
+		assert.NilError(h.t, err)
+		assert.Equal(h.t, status, http.StatusOK, body)
+	}
 	h.waitServed()
 	assert.Equal(h.t, h.served(n, "late"), 0)
 }
--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -18,9 +18,13 @@
 const (
 	sessionsPerPeer = 2
 	dialTimeout     = time.Second
-	idleLimit       = 30 * time.Second
-	backoffFirst    = 100 * time.Millisecond
-	backoffLast     = 5 * time.Second
+	// openWait is how long a call waits for a dial: a peer that is there answers
+	// within the time of a round trip, and another server can take the call. The
+	// dial goes on for later calls.
+	openWait     = 250 * time.Millisecond
+	idleLimit    = 30 * time.Second
+	backoffFirst = 100 * time.Millisecond
+	backoffLast  = 5 * time.Second
 	// time after a GoAway during which the peer is not redialled
 	awayTime = 5 * time.Second
 )
@@ -59,9 +63,14 @@
 		if s != nil {
 			return s.open(ctx, &o)
 		}
+		limit := thclock.Or(d.Clock).NewTimer(openWait)
 		select {
 		case <-wait:
+			limit.Stop()
+		case <-limit.Chan():
+			return nil, therror.New(therror.Down, "no connection to %s within %s", address, openWait)
 		case <-ctx.Done():
+			limit.Stop()
 			if k := therror.KindOf(context.Cause(ctx)); k == therror.Cancelled {
 				return nil, contextError(ctx)
 			}
--- a/thwire/dialer_test.go
+++ b/thwire/dialer_test.go
@@ -126,3 +126,32 @@
 	}
 	assert.Equal(t, dials, 1)
 }
+
+// Pattern: an instance loses power and its address swallows connections.
+// Guards against calls that wait for the dial until near their deadlines, and
+// against a dial that is given up with the first call that waited for it.
+func TestCallDoesNotWaitForLongDial(t *testing.T) {
+	release := make(chan struct{})
+	d := &Dialer{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		select {
+		case <-release:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		a, b := net.Pipe()
+		go io.Copy(io.Discard, b)
+		return a, nil
+	}}
+	defer d.Close()
+	address := netip.MustParseAddrPort("127.0.0.1:1")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	_, err := d.Open(ctx, address, Open{Ended: true})
+	assert.Equal(t, therror.KindOf(err), therror.Down)
+	assert.Assert(t, therror.IsNotRun(err))
+	assert.Assert(t, time.Since(began) < 2*openWait, "%s", time.Since(began))
+	close(release)
+	_, err = d.Open(ctx, address, Open{Ended: true})
+	assert.NilError(t, err)
+}
