Record a failed try: fractions of a second in Retry-After

Cause: refused callers are asked to come back after whole seconds, at least one, where the platform allows fractions. Ruled out by this try: coming back after the expected wait itself (50 ms to 2 s): those who return find the queue as full as before. Change: none in behaviour; the code for fractions is removed. Two lint findings in tests. Conclusion: not kept. A time at which a place is likely needs the rate at which callers return; open.

--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -87,7 +87,7 @@
 	}
 	l, err := net.Listen("tcp", at(hostedServer))
 	assert.NilError(h.t, err)
-	server := &http.Server{Handler: n.instance} //nolint:gosec // a stand-in
+	server := &http.Server{Handler: n.instance}
 	go server.Serve(l)
 	h.t.Cleanup(func() { server.Close() })
 	n.start(h)
--- a/thproxy/answer.go
+++ b/thproxy/answer.go
@@ -28,7 +28,7 @@
 		}
 	}
 	if wait := therror.RetryAfter(err); a.Again || wait > 0 {
-		h.Set("Retry-After", names.retryAfter(wait))
+		h.Set("Retry-After", strconv.FormatInt(max(1, int64((wait+time.Second-1)/time.Second)), 10))
 	}
 	text := err.Error() + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -186,14 +186,3 @@
 	}
 	return nil
 }
-
-// retryAfter formats a time as the value of Retry-After.
-func (n *Headers) retryAfter(wait time.Duration) string {
-	if n.Fractions {
-		return strconv.FormatFloat(max(wait, retryLeast).Seconds(), 'f', 3, 64)
-	}
-	return strconv.FormatInt(max(1, int64((wait+time.Second-1)/time.Second)), 10)
-}
-
-// retryLeast is the shortest time after which a refused caller is asked to come back.
-const retryLeast = 50 * time.Millisecond
--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -36,7 +36,7 @@
 const forwardedFor = "X-Forwarded-For"
 
 // Headers names the headers that the proxy reads and sets. One with an empty
-// name is not used. Retry-After is always whole seconds, unless Fractions is set.
+// name is not used.
 type Headers struct {
 	Request   string // id of a request, which the backend server repeats in its answer
 	Deadline  string // time left to the call, in ms
@@ -50,7 +50,6 @@
 	Rejected  string // set on an answer of a backend server that has not run the request
 	Load      string // on an answer: calls running, calls waiting and slots of the backend server
 	Stamp     string // on every good answer of a backend server
-	Fractions bool   // Retry-After has fractions of a second
 }
 
 // ownHeaders are the names of the product's own interface.
--- a/thwire/dialer_test.go
+++ b/thwire/dialer_test.go
@@ -132,7 +132,7 @@
 // against a dial that is given up with the first call that waited for it.
 func TestCallDoesNotWaitForLongDial(t *testing.T) {
 	release := make(chan struct{})
-	d := &Dialer{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+	d := &Dialer{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
 		select {
 		case <-release:
 		case <-ctx.Done():
