Let two tests wait for a condition in place of a fixed time

Cause: TestDirectDropsConnectionWithExtraBytes slept 10 ms and the scheduler's tests waited 0.2 s for another goroutine; beside load both may be too short. Ruled out: longer sleeps. Change: the first waits until the bytes have arrived, the second for up to 10 s. What they check is unchanged.

--- a/thadmit/scheduler_test.go
+++ b/thadmit/scheduler_test.go
@@ -38,7 +38,7 @@
 		_, err := s.Enter(t.Context(), o)
 		c <- err
 	}()
-	for range 2000 { // until it has been decided on
+	for range 100_000 { // until it has been decided on
 		if len(c) > 0 || s.Load("").Queued+s.Load("").Active > before {
 			return c
 		}
--- a/thproxy/direct_test.go
+++ b/thproxy/direct_test.go
@@ -128,7 +128,7 @@
 		got, err := send(t, d, address, id, nil)
 		assert.NilError(t, err)
 		assert.Equal(t, got, "ok")
-		time.Sleep(10 * time.Millisecond) // the second answer arrives while the connection is idle
+		eventually(t, func() bool { return len(d.idle) == 0 || !d.idle[0].quiet() }) // the second answer arrives while the connection is idle
 	}
 	assert.Equal(t, connections.Load(), int32(2))
 }
