Wait for the recorder before a test judges the last processes

Its log shows version 8 in effect at 18.482, in its last process; version 7 held in both before. The processes before ended within the 3 s of the goal and don't count, so the recorder had no sample of the last one: it polls by itself each 10 ms, and f.Wait had seen the daemon ready first.

Ruled out: lines or versions lost by the daemon (its log), the new log writer (the test reads /status).

Change: the test waits until the recorder has seen the last process of each daemon as ready. What it checks is unchanged.

--- a/thproof/config_everywhere_test.go
+++ b/thproof/config_everywhere_test.go
@@ -228,6 +228,8 @@
 		assert.NilError(t, f.Wait(t.Context(), 20*time.Second, "ready", ready))
 		t.Logf("all restarted at once: ready after %s", time.Since(begin).Round(time.Millisecond))
 	}
+	// The recorder polls by itself and may not have seen a daemon that f.Wait has.
+	r.waitReady(t, f, lives)
 	convergence(t, r.all(), marks, lives)
 	r.requireConsistent(t, f)
 }
--- a/thproof/config_record_test.go
+++ b/thproof/config_record_test.go
@@ -63,6 +63,21 @@
 	r.mu.Unlock()
 }
 
+// waitReady waits until the last process of each daemon has been recorded as ready.
+func (r *recorder) waitReady(t *testing.T, f *thfleet.Fleet, lives map[string][]life) {
+	t.Helper()
+	until(t, "all daemons recorded as ready", func() bool {
+		seen := map[string]bool{}
+		for _, h := range r.all() {
+			last := lives[h.Daemon][len(lives[h.Daemon])-1]
+			if h.Ready && h.Time.After(last.from) {
+				seen[h.Daemon] = true
+			}
+		}
+		return len(seen) == len(f.Upstreams)
+	})
+}
+
 func (r *recorder) all() []thcheck.Held {
 	r.mu.Lock()
 	defer r.mu.Unlock()
