Read the operators' rows with a few daemons of each zone

Ruled out: one reader by a lease (its pause delays all); fewer reads by each daemon (they still grow).

Change: the first three live daemons of each zone in rendezvous order follow the source; each daemon reads it once after its start. The others ask one of their zone as soon as it holds a newer version, another zone after 600 ms. Answers hold the routes that changed since the asker's version; tables above 32 KB are read from the source by each daemon, if it can. Readers shorten their pause when another one has found a change, and it is 0.4 of the time allowed in place of 0.6. Looking for groups that started apart is left to the readers.

--- a/thconfig/digest.go
+++ b/thconfig/digest.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"reflect"
+	"slices"
 
 	"github.com/turmerichaven/turmerichaven/therror"
 )
@@ -77,3 +78,55 @@
 	}
 	return append(sets, removes...)
 }
+
+// ChangedRoutes returns the names of the routes that differ between two tables
+// or are in one of them only, sorted.
+func ChangedRoutes(old, next Tables) []string {
+	var names []string
+	i, j := 0, 0
+	for i < len(old.Routes) || j < len(next.Routes) {
+		switch {
+		case j == len(next.Routes) || (i < len(old.Routes) && old.Routes[i].Name < next.Routes[j].Name):
+			names = append(names, old.Routes[i].Name)
+			i++
+		case i == len(old.Routes) || next.Routes[j].Name < old.Routes[i].Name:
+			names = append(names, next.Routes[j].Name)
+			j++
+		default:
+			if !reflect.DeepEqual(old.Routes[i], next.Routes[j]) {
+				names = append(names, next.Routes[j].Name)
+			}
+			i++
+			j++
+		}
+	}
+	return names
+}
+
+// PickRoutes returns the named routes of the tables, and those names that it has
+// no route for.
+func PickRoutes(t Tables, names []string) (routes []Route, missing []string) {
+	for _, n := range names {
+		if r, found := t.Route(n); found {
+			routes = append(routes, r)
+		} else {
+			missing = append(missing, n)
+		}
+	}
+	return routes, missing
+}
+
+// ReplaceRoutes returns the routes of the tables with some replaced or added,
+// and others removed, sorted by name. It never changes t.
+func ReplaceRoutes(t Tables, routes []Route, gone []string) []Route {
+	n := Tables{Routes: slices.Clone(t.Routes)}
+	for _, r := range routes {
+		from, to := n.findRoute(r.Name)
+		n.Routes = slices.Replace(n.Routes, from, to, r)
+	}
+	for _, name := range gone {
+		from, to := n.findRoute(name)
+		n.Routes = slices.Delete(n.Routes, from, to)
+	}
+	return n.Routes
+}
--- a/thdaemon/announce.go
+++ b/thdaemon/announce.go
@@ -41,6 +41,9 @@
 	// alone says that this daemon starts by itself, among others that run: it
 	// looks for them at once.
 	alone bool
+	// duty reports whether this daemon is one of the few that go on reading while
+	// it has neighbours; nil means always.
+	duty  func() bool
 	node  *thmember.Node
 	clock clockwork.Clock
 	log   hclog.Logger
@@ -71,7 +74,7 @@
 		}
 		if !a.clock.Now().Before(wake) {
 			neighbours := len(a.node.Neighbours())
-			if neighbours == 0 || !lonely {
+			if neighbours == 0 || (!lonely && (neighbours < enoughNeighbours || a.duty == nil || a.duty())) {
 				a.find(ctx)
 			}
 			lonely = neighbours == 0
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -165,6 +165,10 @@
 	d.admin = thadmin.Admin{Gatherer: d.metrics.Registry(), Ready: d.reasons, Status: d.status, Log: d.Log.Named("admin")}
 	d.mover = &thmove.Mover{Fleet: fleet{d.node}, Clock: d.Clock, Log: d.Log.Named("move")}
 	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance")}
+	d.announce = &announcer{
+		store: d.platform.Store, spread: s.Peers.Spread, alone: s.Platform.Kind == thsettings.KindRows && s.Daemon.Bootstrap != "true",
+		node: d.node, clock: d.Clock, log: d.Log.Named("announce"), lost: make(chan struct{}, 1),
+	}
 	d.buildCalls()
 	if s.Platform.Kind == thsettings.KindRows {
 		d.buildRows()
@@ -178,7 +182,6 @@
 		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target) },
 		Log:     d.Log.Named("wire"),
 	}
-	d.announce = &announcer{store: d.platform.Store, spread: s.Peers.Spread, alone: s.Platform.Kind == thsettings.KindRows && s.Daemon.Bootstrap != "true", node: d.node, clock: d.Clock, log: d.Log.Named("announce"), lost: make(chan struct{}, 1)}
 	d.connect()
 }
 
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -162,7 +162,6 @@
 	case c.reached == 0:
 		return true
 	}
-	c.open.Again = true
 	return c.Budget.Repeat(c.pool, c.route.Priority)
 }
 
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/throute"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
@@ -34,31 +36,44 @@
 	followBackoff = 50 * time.Millisecond // after the first failure, doubled up to followRetry
 	followRetry   = time.Second           // a change must be in force within two seconds
 	followTick    = 250 * time.Millisecond
-	followFetch   = time.Second // before another member is asked for the same version
+	// followFar is the time for a change to reach a reader of the own zone, before
+	// a daemon that does not read the source asks another zone: bytes between
+	// zones are priced. Readers learn of the change within two followTicks.
+	followFar = 600 * time.Millisecond
+	// followFetch is the time before another member is asked for the same version.
+	// A member sends 70 KB to a few others within it over a link of 10 Mbit/s.
+	followFetch = 500 * time.Millisecond
 	// followPause is the part of Apply between a change and the next question.
-	// Changes in quick succession then cost one call for several.
-	followPause = 0.6
+	// Changes in quick succession then cost one call for several. The rest of Apply
+	// is for the way from the readers to the other daemons.
+	followPause = 0.4
 	// followApply is Apply where it is not set.
 	followApply = 2 * time.Second
 )
 
 // Follower holds the snapshot in effect on a daemon whose configuration lies in
-// a Source. It follows the source itself, and takes newer tables from other
-// daemons, so that one that is cut off from the source stays current. Set the
-// exported fields and call Watch and Prepare before Start; start it before the
-// Peers, since it sets their handlers.
+// a Source. A few daemons of each zone follow the source, so that the calls to it
+// do not grow with the fleet; each daemon reads it once after its start, and takes
+// newer tables from other daemons, which also keeps one current that is cut off
+// from the source. Set the exported fields and call Watch and Prepare before
+// Start; start it before the Peers, since it sets their handlers.
 type Follower struct {
 	Source Source
 	Peers  Peers
 	Clock  clockwork.Clock
 	Log    hclog.Logger
 	// Apply is the time within which a change has to be in effect; zero means 2 s.
-	// A daemon that reaches the source reads each change in that time, and asks
+	// A daemon that follows the source reads each change in that time, and asks
 	// other daemons only for versions that it has not found until then.
 	Apply time.Duration
 
 	current   atomic.Pointer[Snapshot]
 	status    atomic.Pointer[Status]
+	duty      atomic.Pointer[duty]
+	lost      atomic.Bool   // the source did not answer the last question
+	once      atomic.Bool   // the source is to be read once, also by a daemon that is no reader
+	called    chan struct{} // wakes follow when this daemon has become a reader
+	newer     chan struct{} // wakes follow when another daemon holds a newer version
 	watchers  []func(*Snapshot)
 	preparers []func(*Snapshot)
 
@@ -69,6 +84,8 @@
 	behind  time.Time // since when another daemon is known to hold a newer version than
 	held    uint64    // this one
 	asked   time.Time
+	steps   steps
+	whole   bool            // the next question is for all routes
 	parts   thconfig.Tables // tables that arrive in several batches
 	from    string          // their sender
 
@@ -77,6 +94,12 @@
 	done   chan struct{}
 }
 
+// duty says whether this daemon follows the source, as of a view of the members.
+type duty struct {
+	view   *thmember.View
+	reader bool
+}
+
 // Start begins to follow the source.
 func (f *Follower) Start(ctx context.Context) error {
 	if f.Source == nil || f.Peers == nil {
@@ -91,8 +114,10 @@
 	}
 	f.Peers.Handle(thwire.TypeFetch, f.handleFetch)
 	f.Peers.Handle(thwire.TypeBatch, f.handleBatch)
+	f.Peers.Handle(thwire.TypeKnown, f.handleKnown)
 	ctx, f.cancel = context.WithCancel(ctx)
 	f.done = make(chan struct{})
+	f.called, f.newer = make(chan struct{}, 1), make(chan struct{}, 1)
 	f.group.Go(func() { f.follow(ctx) })
 	f.group.Go(func() { f.compare(ctx) })
 	go func() {
@@ -133,10 +158,41 @@
 	return Status{}
 }
 
+// OnDuty reports whether this daemon reads the source for its zone.
+func (f *Follower) OnDuty() bool {
+	v := f.Peers.View()
+	if d := f.duty.Load(); d != nil && d.view == v {
+		return d.reader
+	}
+	self := f.Peers.Self()
+	d := &duty{view: v, reader: v == nil || slices.Contains(readers(v, self.Zone), self.Name)}
+	f.duty.Store(d)
+	return d.reader
+}
+
+// await returns when a question to the source is due: at once on a reader, and
+// on a daemon that has no tables yet. It reports whether it had to wait.
+func (f *Follower) await(ctx context.Context) bool {
+	waited := false
+	for f.Ready() && !f.OnDuty() && !f.once.Swap(false) && ctx.Err() == nil {
+		waited = true
+		select {
+		case <-f.called:
+		case <-ctx.Done():
+		}
+	}
+	return waited
+}
+
 // follow asks the source for changes, one question at a time.
 func (f *Follower) follow(ctx context.Context) {
 	backoff, lost, seen := followBackoff, time.Time{}, uint64(0)
 	for ctx.Err() == nil {
+		if f.await(ctx) {
+			// What was missed may be long; what holds now is short.
+			f.Source.Again()
+			f.Log.Info("reading the configuration source", "version", f.version(), "duty", f.OnDuty())
+		}
 		o, err := f.Source.Next(ctx, followWait)
 		switch {
 		case ctx.Err() != nil:
@@ -146,7 +202,7 @@
 				lost = f.Clock.Now()
 				f.Log.Warn("configuration source lost", "version", f.version(), "error", err)
 			}
-			// What was missed may be long; what holds now is short.
+			f.lost.Store(true)
 			f.Source.Again()
 			f.sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, followRetry)
@@ -155,19 +211,36 @@
 			f.Log.Info("configuration source back", "version", f.version(), "after", f.Clock.Since(lost))
 			lost = time.Time{}
 		}
+		f.lost.Store(false)
 		backoff = followBackoff
 		if o != nil {
 			f.take(o)
 			if o.Version > seen {
 				seen = o.Version
 				// Further changes often follow. One read then replaces them all.
-				f.sleep(ctx, time.Duration(followPause*float64(f.Apply)))
+				f.pause(ctx)
 				f.Source.Again()
 			}
 		}
 	}
 }
 
+// pause lets further changes follow, until another reader has found one: the
+// readers of all zones then read it together.
+func (f *Follower) pause(ctx context.Context) {
+	select {
+	case <-f.newer: // of a version that has been read meanwhile
+	default:
+	}
+	t := f.Clock.NewTimer(time.Duration(followPause * float64(f.Apply)))
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+	case <-f.newer:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	t := f.Clock.NewTimer(d)
 	defer t.Stop()
@@ -226,10 +299,14 @@
 		return
 	}
 	s := &Snapshot{Tables: t, Digest: thconfig.Digest(t), Router: r}
+	if old := f.current.Load(); old != nil {
+		f.steps.add(old.Tables, t)
+	}
 	for _, p := range f.preparers {
 		p(s)
 	}
 	f.current.Store(s)
+	f.whole = false
 	f.Log.Info("configuration in effect", "version", t.Version, "from", from, "routes", len(t.Routes), "moves", len(t.Moves))
 	f.Peers.SetHeld(t.Version, s.Digest)
 	n := Status{Version: t.Version, Digest: s.Digest, Highest: t.Version, Ready: true, Polling: true}
@@ -242,7 +319,8 @@
 	}
 }
 
-// compare asks another daemon for its tables where it holds newer ones for some time.
+// compare asks another daemon for its tables where it holds newer ones, and
+// wakes follow when this daemon has become a reader.
 func (f *Follower) compare(ctx context.Context) {
 	t := f.Clock.NewTicker(followTick)
 	defer t.Stop()
@@ -252,28 +330,47 @@
 			return
 		case <-t.Chan():
 		}
+		if f.OnDuty() {
+			wake(f.called)
+		}
 		if to := f.ahead(); to != "" {
-			if err := f.Peers.Send(to, thwire.TypeFetch, &thwire.Fetch{From: f.version()}); err != nil {
+			if err := f.Peers.Send(to, thwire.TypeFetch, f.question()); err != nil {
 				f.Log.Debug("tables not asked for", "peer", to, "error", err)
 			}
 		}
 	}
 }
 
-// ahead returns a random live member that has held a newer version for a while,
-// empty without one or while a question is open.
+// wake signals on a channel with room for one signal.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// ahead returns a random live member that holds a newer version, empty without
+// one or while a question is open. A member of the own zone is asked at once, and
+// any other after a while; one that follows the source asks only for what it has
+// not read in time.
 func (f *Follower) ahead() string {
 	v := f.Peers.View()
 	if v == nil {
 		return ""
 	}
-	own := f.version()
-	var newer []string
+	own, zone := f.version(), f.Peers.Self().Zone
+	var near, newer []string
 	for _, m := range v.Members {
-		if h, found := v.Held[m.Name]; found && m.State == thwire.MemberAlive && h.Version > own {
-			newer = append(newer, m.Name)
+		h, found := v.Held[m.Name]
+		if !found || m.State != thwire.MemberAlive || h.Version <= own {
+			continue
+		}
+		newer = append(newer, m.Name)
+		if m.Zone == zone {
+			near = append(near, m.Name)
 		}
 	}
+	reads := f.OnDuty() && !f.lost.Load()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.Clock.Now()
@@ -283,77 +380,19 @@
 	}
 	if f.behind.IsZero() || f.held != own {
 		f.behind, f.held = now, own
+		wake(f.newer)
+	}
+	if now.Sub(f.asked) < followFetch {
+		return ""
 	}
-	if now.Sub(f.behind) < f.Apply || now.Sub(f.asked) < followFetch {
+	switch late := now.Sub(f.behind); {
+	case reads && late < f.Apply, own == 0 && late < followFar:
+		return ""
+	case len(near) > 0:
+		newer = near
+	case !reads && late < followFar:
 		return ""
 	}
 	f.asked = now
 	return newer[rand.IntN(len(newer))]
 }
-
-func (f *Follower) handleFetch(from string, payload []byte) {
-	var m thwire.Fetch
-	if err := thwire.Decode(payload, &m); err != nil {
-		f.Log.Warn("malformed message", "peer", from, "error", err)
-		return
-	}
-	s := f.current.Load()
-	if s == nil || s.Tables.Version <= m.From {
-		return
-	}
-	for _, b := range batches(s) {
-		if err := f.Peers.Send(from, thwire.TypeBatch, b); err != nil {
-			f.Log.Debug("tables not sent", "peer", from, "error", err)
-			return
-		}
-	}
-}
-
-// batches returns the tables in parts that fit a frame each. Each part has the
-// version; the last one has the digest.
-func batches(s *Snapshot) []*thwire.Batch {
-	rest := s.Tables
-	var list []*thwire.Batch
-	for {
-		part := rest
-		part.Routes = nil
-		size := part.Msgsize()
-		n := 0
-		for n < len(rest.Routes) && size < maxPart {
-			size += rest.Routes[n].Msgsize()
-			n++
-		}
-		part.Routes = rest.Routes[:n]
-		rest = thconfig.Tables{Version: rest.Version, Routes: rest.Routes[n:]}
-		list = append(list, &thwire.Batch{Tables: &part})
-		if len(rest.Routes) == 0 {
-			list[len(list)-1].Digest = s.Digest
-			return list
-		}
-	}
-}
-
-func (f *Follower) handleBatch(from string, payload []byte) {
-	var m thwire.Batch
-	if err := thwire.Decode(payload, &m); err != nil || m.Tables == nil {
-		f.Log.Warn("malformed message", "peer", from, "error", err)
-		return
-	}
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if from != f.from || f.parts.Version != m.Tables.Version {
-		f.parts, f.from = *m.Tables, from
-	} else {
-		f.parts.Routes = append(f.parts.Routes, m.Tables.Routes...)
-	}
-	if len(m.Digest) == 0 { // further parts follow
-		return
-	}
-	t := f.parts
-	f.parts, f.from = thconfig.Tables{}, ""
-	if d := thconfig.Digest(t); string(d) != string(m.Digest) {
-		f.Log.Warn("tables with a wrong digest", "peer", from, "version", t.Version)
-		return
-	}
-	f.swap(t, from)
-}
--- a/thsync/follow_test.go
+++ b/thsync/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 type fakeSource struct {
 	orders chan *thconfig.Orders
 	errors chan error
+	asked  atomic.Int64 // questions
 }
 
 func newSource() *fakeSource {
@@ -26,6 +28,7 @@
 }
 
 func (s *fakeSource) Next(ctx context.Context, _ time.Duration) (*thconfig.Orders, error) {
+	s.asked.Add(1)
 	select {
 	case o := <-s.orders:
 		return o, nil
@@ -44,6 +47,7 @@
 	mutex    *sync.Mutex
 	all      map[string]*fakePeers
 	held     map[string]thwire.Held
+	dead     map[string]bool
 	handlers map[thwire.Type]thmember.Handler
 	sent     int
 }
@@ -55,7 +59,11 @@
 	defer p.mutex.Unlock()
 	v := &thmember.View{Held: map[string]thwire.Held{}}
 	for n := range p.all {
-		v.Members = append(v.Members, thwire.Member{Name: n})
+		m := thwire.Member{Name: n}
+		if p.dead[n] {
+			m.State = thwire.MemberDead
+		}
+		v.Members = append(v.Members, m)
 		v.Held[n] = p.held[n]
 	}
 	return v
@@ -87,11 +95,11 @@
 
 func newFollowers(t *testing.T, clock clockwork.Clock, names ...string) ([]*Follower, []*fakeSource) {
 	var mutex sync.Mutex
-	all, held := map[string]*fakePeers{}, map[string]thwire.Held{}
+	all, held, dead := map[string]*fakePeers{}, map[string]thwire.Held{}, map[string]bool{}
 	var followers []*Follower
 	var sources []*fakeSource
 	for _, n := range names {
-		p := &fakePeers{name: n, mutex: &mutex, all: all, held: held, handlers: map[thwire.Type]thmember.Handler{}}
+		p := &fakePeers{name: n, mutex: &mutex, all: all, held: held, dead: dead, handlers: map[thwire.Type]thmember.Handler{}}
 		all[n] = p
 		s := newSource()
 		f := &Follower{Source: s, Peers: p, Clock: clock, Apply: time.Millisecond}
@@ -192,3 +200,185 @@
 	assert.Equal(t, len(followers[1].Current().Tables.Routes), routes)
 	assert.DeepEqual(t, followers[1].Current().Digest, followers[0].Current().Digest)
 }
+
+// await waits up to 10 s for a condition.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 5000 {
+		if holds() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatal(what)
+}
+
+// Pattern: a zone of many daemons and changes in quick succession. Guards
+// against calls to the store that grow with the fleet, against daemons that do
+// not read it and stay behind, and against a zone whose readers have all died.
+func TestFollowersReadForTheirZone(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	followers, sources := newFollowers(t, nil, names...)
+	for _, s := range sources {
+		s.orders <- order(2, 2, 3) // each reads once after its start
+	}
+	var reading, others []int
+	for i, f := range followers {
+		waitVersion(t, f, 2)
+		if f.OnDuty() {
+			reading = append(reading, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	assert.Equal(t, len(reading), pollers)
+	for version := uint64(3); version < 6; version++ {
+		for _, i := range reading {
+			sources[i].orders <- order(version, version, 3)
+		}
+		for _, f := range followers {
+			waitVersion(t, f, version)
+		}
+	}
+	for _, i := range others {
+		assert.Equal(t, sources[i].asked.Load(), int64(1), "questions of %s", names[i])
+	}
+	p := followers[0].Peers.(*fakePeers)
+	p.mutex.Lock()
+	for _, i := range reading {
+		p.dead[names[i]] = true
+	}
+	p.mutex.Unlock()
+	await(t, "no daemon reads in place of the dead ones", func() bool {
+		asking := 0
+		for _, i := range others {
+			if sources[i].asked.Load() > 1 {
+				asking++
+			}
+		}
+		return asking == pollers
+	})
+}
+
+// Pattern: 700 routes and one change, fetched by all daemons of a zone at once.
+// Guards against whole tables on links of 10 Mbit/s, which held up calls for a
+// second; a daemon that is too far behind, or got something else, takes them whole.
+func TestFollowerSendsChangesOnly(t *testing.T) {
+	followers, sources := newFollowers(t, nil, "a", "b")
+	a, b := followers[0], followers[1]
+	sources[0].orders <- order(2, 2, 700)
+	waitVersion(t, a, 2)
+	waitVersion(t, b, 2) // all routes
+	next := order(3, 3, 699)
+	next.Config.Routes[5].Timeout = time.Minute
+	next.Out = []string{"north"}
+	sources[0].orders <- next
+	waitVersion(t, a, 3)
+	a.mutex.Lock()
+	names, known := a.steps.since(2)
+	a.mutex.Unlock()
+	assert.Assert(t, known && len(names) == 2, "%v", names)
+	whole, change := 0, changes(a.Current(), 2, names)
+	for _, p := range batches(a.Current()) {
+		whole += p.Msgsize()
+	}
+	assert.Assert(t, change.Msgsize() < whole/50, "%d bytes for one change, %d for all", change.Msgsize(), whole)
+	waitVersion(t, b, 3)
+	assert.DeepEqual(t, a.Current().Digest, b.Current().Digest)
+}
+
+// Pattern: a change adds many routes. Guards against large tables that one daemon
+// sends to all others of its zone: each reads the source itself, and only one
+// that the source turns away gets them from others.
+func TestFollowerReadsLargeChangeItself(t *testing.T) {
+	followers, sources := newFollowers(t, nil, "a", "b", "c", "d", "e")
+	for i, s := range sources {
+		s.orders <- order(2, 2, 3)
+		waitVersion(t, followers[i], 2)
+	}
+	large := order(3, 3, 1000)
+	for i, f := range followers {
+		if f.OnDuty() {
+			sources[i].orders <- large
+		}
+	}
+	turnedAway := true
+	for i, f := range followers {
+		if f.OnDuty() {
+			continue
+		}
+		if turnedAway {
+			sources[i].errors <- therror.New(therror.Down, "turned away")
+			turnedAway = false
+		} else {
+			sources[i].orders <- large
+		}
+		waitVersion(t, f, 3)
+		assert.DeepEqual(t, f.Current().Digest, followers[0].Current().Digest)
+	}
+}
+
+// Pattern: daemons that read the source at different times, so that the version
+// of one lies between two of another. Guards against whole tables for these.
+func TestStepsBetweenVersions(t *testing.T) {
+	var s steps
+	_, known := s.since(2)
+	assert.Assert(t, !known)
+	one, two, three := order(2, 2, 4).Tables(), order(5, 5, 6).Tables(), order(9, 9, 5).Tables()
+	s.add(one, two)
+	s.add(two, three)
+	for _, c := range []struct {
+		version uint64
+		names   int
+		known   bool
+	}{{1, 0, false}, {2, 2, true}, {4, 2, true}, {5, 1, true}, {8, 1, true}, {9, 0, true}} {
+		names, known := s.since(c.version)
+		assert.Equal(t, known, c.known, "version %d", c.version)
+		assert.Equal(t, len(names), c.names, "version %d: %v", c.version, names)
+	}
+}
+
+// Pattern: a change that the next version takes back, while daemons read at
+// different times. Guards against tables with the change in them.
+func TestFollowerTakesBackAChange(t *testing.T) {
+	followers, sources := newFollowers(t, nil, "a", "b", "c", "d")
+	var reading []int
+	var other *Follower
+	for i, s := range sources {
+		s.orders <- order(2, 2, 4)
+		waitVersion(t, followers[i], 2)
+		if followers[i].OnDuty() {
+			reading = append(reading, i)
+		} else {
+			other = followers[i]
+		}
+	}
+	changed := order(3, 3, 4)
+	changed.Config.Routes[1].Timeout = time.Minute
+	sources[reading[0]].orders <- changed
+	waitVersion(t, other, 3)
+	assert.DeepEqual(t, other.question().Routes, []string{changed.Config.Routes[1].Name})
+	sources[reading[1]].orders <- order(4, 4, 4)
+	waitVersion(t, other, 4)
+	assert.DeepEqual(t, other.Current().Digest, followers[reading[1]].Current().Digest)
+}
+
+// Guards against tables that stay wrong after a change that does not fit them.
+func TestFollowerTakesAllAfterAWrongChange(t *testing.T) {
+	followers, sources := newFollowers(t, nil, "a", "b")
+	a, b := followers[0], followers[1]
+	sources[0].orders <- order(2, 2, 5)
+	waitVersion(t, a, 2)
+	waitVersion(t, b, 2)
+	wrong := changes(a.Current(), 2, nil)
+	wrong.Tables.Version = 3
+	payload, err := wrong.MarshalMsg(nil)
+	assert.NilError(t, err)
+	b.handleBatch("a", payload)
+	assert.Equal(t, b.version(), uint64(2))
+	assert.Equal(t, b.question().From, uint64(0))
+	sources[0].orders <- order(4, 4, 6)
+	waitVersion(t, a, 4)
+	waitVersion(t, b, 4)
+	assert.Equal(t, b.question().From, uint64(4))
+}
--- a/thsync/poll.go
+++ b/thsync/poll.go
@@ -38,6 +38,22 @@
 	share  share
 }
 
+// readers returns the names of the members that read the platform for a zone:
+// its first live ones in rendezvous order.
+func readers(v *thmember.View, zone string) []string {
+	members := make([]thwire.Member, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.Zone == zone && (m.State == thwire.MemberAlive || m.State == thwire.MemberSuspect) {
+			members = append(members, m)
+		}
+	}
+	names := make([]string, 0, pollers)
+	for _, m := range thmember.Rendezvous("poll/"+zone, members, pollers) {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // onDuty reports whether this daemon is among the first live members of its
 // zone in rendezvous order. It is computed once for each view.
 func (h *Holder) onDuty() bool {
@@ -53,18 +69,12 @@
 	}
 	p.share.grow(len(view.Members), h.Clock.Now())
 	p.share.readers = p.share.readers[:0]
-	zone := make([]thwire.Member, 0, len(view.Members))
-	for _, m := range view.Members {
-		if m.Zone == self.Zone && (m.State == thwire.MemberAlive || m.State == thwire.MemberSuspect) {
-			zone = append(zone, m)
-		}
-	}
-	for _, m := range thmember.Rendezvous("poll/"+self.Zone, zone, pollers) {
-		if m.Name == self.Name {
+	for _, name := range readers(view, self.Zone) {
+		if name == self.Name {
 			p.duty = true
 			continue
 		}
-		p.share.readers = append(p.share.readers, m.Name)
+		p.share.readers = append(p.share.readers, name)
 	}
 	return p.duty
 }
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -15,7 +15,7 @@
 //msgp:tuple Member Server
 
 // Protocol is the version of the protocol; peers of another version are refused.
-const Protocol = 3
+const Protocol = 4
 
 // The kinds of connection that a Hello opens.
 const (
@@ -135,6 +135,14 @@
 // Fetch asks for the changes after From; the answer is a Batch.
 type Fetch struct {
 	From uint64 `msg:"f"`
+	// Any asks for tables of any size. Without it a daemon that follows a source
+	// answers with Known where they are so large that the asker had better read
+	// the source.
+	Any bool `msg:"a,omitempty"`
+	// Routes are the names of those that the latest versions of the asker changed.
+	// The receiver may not have seen these versions, and may hold the routes as they
+	// were before.
+	Routes []string `msg:"r,omitempty"`
 }
 
 // Ask asks a daemon that polls the platform for its next HeadRead.
@@ -153,6 +161,10 @@
 	Changes []thconfig.Change `msg:"c"`
 	Tables  *thconfig.Tables  `msg:"t"`
 	Digest  []byte            `msg:"d"` // of Tables
+	// Base is the version in which the routes of Tables replace those of the same
+	// name; zero where Tables has all routes. Gone names the routes to remove.
+	Base uint64   `msg:"b"`
+	Gone []string `msg:"g"`
 }
 
 // Ping is answered by a Pong of the same Number.
@@ -256,7 +268,7 @@
 	Instance string   `msg:"i"` // backend server instance that the call is meant for; empty for any
 	Priority int      `msg:"y"` // 0 is the most urgent
 	Goal     int64    `msg:"g"` // time left until the latency objective in ns; zero without one
-	Again    bool     `msg:"b"` // an earlier attempt may have reached a backend server
+	Late     bool     `msg:"b"` // the caller comes back, and its latency objective has passed
 }
 
 // Head begins the answer of a stream.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -65,9 +65,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0x85, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
 	for za0001 := range z.Changes {
 		o, err = z.Changes[za0001].MarshalMsg(o)
@@ -90,6 +90,15 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBytes(o, z.Digest)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendUint64(o, z.Base)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+	for za0002 := range z.Gone {
+		o = msgp.AppendString(o, z.Gone[za0002])
+	}
 	return
 }
 
@@ -177,6 +186,35 @@
 			}
 			copy(z.Digest, bts[:zb0003])
 			bts = bts[zb0003:]
+		case "b":
+			z.Base, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+		case "g":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gone")
+				return
+			}
+			if zb0004 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Gone) >= int(zb0004) {
+				z.Gone = (z.Gone)[:zb0004]
+			} else {
+				z.Gone = make([]string, zb0004)
+			}
+			for za0002 := range z.Gone {
+				z.Gone[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gone", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -201,7 +239,10 @@
 	} else {
 		s += z.Tables.Msgsize()
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Digest)
+	s += 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Gone {
+		s += msgp.StringPrefixSize + len(z.Gone[za0002])
+	}
 	return
 }
 
@@ -747,12 +788,42 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Fetch) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Fetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "f"
-	o = append(o, 0x81, 0xa1, 0x66)
-	o = msgp.AppendUint64(o, z.From)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Any == false {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Routes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint64(o, z.From)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendBool(o, z.Any)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Routes)))
+			for za0001 := range z.Routes {
+				o = msgp.AppendString(o, z.Routes[za0001])
+			}
+		}
+	}
 	return
 }
 
@@ -784,6 +855,35 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "a":
+			z.Any, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Any")
+				return
+			}
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Routes")
+				return
+			}
+			if zb0002 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Routes) >= int(zb0002) {
+				z.Routes = (z.Routes)[:zb0002]
+			} else {
+				z.Routes = make([]string, zb0002)
+			}
+			for za0001 := range z.Routes {
+				z.Routes[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Routes", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -797,8 +897,11 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Fetch) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size
+func (z *Fetch) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Routes {
+		s += msgp.StringPrefixSize + len(z.Routes[za0001])
+	}
 	return
 }
 
@@ -2116,7 +2219,7 @@
 	o = msgp.AppendInt64(o, z.Goal)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBool(o, z.Again)
+	o = msgp.AppendBool(o, z.Late)
 	return
 }
 
@@ -2295,9 +2398,9 @@
 				return
 			}
 		case "b":
-			z.Again, bts, err = msgp.ReadBoolBytes(bts)
+			z.Late, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Again")
+				err = msgp.WrapError(err, "Late")
 				return
 			}
 		default:
