Keep queues short enough that new callers are served in time

A call was queued up to 750 ms for an objective of 500 ms; a third of the new callers, whose first deadlines differ by 15%, was taken for returning ones, which could wait even longer. So nearly all waited too long.

Change: a call is queued if it would be served within 0.9 of its objective. Callers who come back after it are served after the others of their priority and wait only where a place is near. Who comes back is told from the usual deadline of the route, not from the longest ever seen. The wait is estimated from the first of the calls in progress to end, and from the average of all calls in place of that of all routes.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -16,17 +16,27 @@
 
 // Constants of a Scheduler.
 const (
-	timeGain   = 0.1                    // weight of a new service time in the average
-	timeFirst  = 100 * time.Millisecond // service time of a route without an answer yet
-	timeLeast  = time.Millisecond
-	rateWindow = time.Second // in which a cold server's calls are counted
+	timeGain  = 0.1                    // weight of a new service time in the average
+	timeFirst = 100 * time.Millisecond // service time of a route without an answer yet
+	timeLeast = time.Millisecond
+	// residueTimes is the time until the first of the calls in progress ends, in
+	// service times divided by the slots, half a service time at most. With times
+	// that don't vary it would be one.
+	residueTimes = 1.5
+	rateWindow   = time.Second // in which a cold server's calls are counted
 	// waitMargin is the part of the time left that waiting and serving may fill
-	// where the latency objective can't be met any more: service times vary, and
-	// the answer has to travel back.
+	// without a latency objective: service times vary, and the answer has to
+	// travel back.
 	waitMargin = 0.8
-	// goalMargin is the same where the objective can be met, and longer than this
-	// part. A queue that all leave too late for it serves no more calls.
-	goalMargin  = 0.5
+	// goalMargin is the same of the latency objective. Calls that wait longer are
+	// all served too late, and no more of them are.
+	goalMargin = 0.9
+	// goalLeast is the time that a call may wait and be served in any case, where it
+	// has twice as much left: to refuse an inner call wastes the work of its caller.
+	goalLeast = 250 * time.Millisecond
+	// lateMargin is the part of the time left of a caller who comes back. Such calls
+	// are served after the others, and wait only where their place is near.
+	lateMargin  = 0.3
 	refuseLeast = 50 * time.Millisecond // shortest time after which a refused call may come back
 	refuseMost  = 2 * time.Second
 )
@@ -46,18 +56,20 @@
 	missing bool         // no server
 	known   bool         // SetServer has been called
 	leaving bool
-	cold    time.Time   // until when the server is cold
-	rate    float64     // calls a second while it is cold
-	recent  []time.Time // dispatches to the cold server in the last second
-	queue   []*ticket   // by priority, then arrival
-	times   map[string]time.Duration
-	timer   clockwork.Timer // wakes the queue when a cold server bears the next call
+	cold    time.Time                // until when the server is cold
+	rate    float64                  // calls a second while it is cold
+	recent  []time.Time              // dispatches to the cold server in the last second
+	queue   []*ticket                // by priority, then arrival
+	times   map[string]time.Duration // average service time by route
+	average time.Duration            // of all calls
+	timer   clockwork.Timer          // wakes the queue when a cold server bears the next call
 }
 
 // ticket is a call that waits.
 type ticket struct {
 	route    string
 	priority int
+	late     bool      // its latency objective has passed
 	due      time.Time // of the latency objective; the deadline where there is none
 	deadline time.Time
 	limit    time.Duration // longest time for waiting and serving
@@ -125,22 +137,32 @@
 func newTicket(o *thwire.Open, deadline, now time.Time) *ticket {
 	left := deadline.Sub(now)
 	t := &ticket{
-		route: o.Route, priority: o.Priority, due: deadline, deadline: deadline,
+		route: o.Route, priority: o.Priority, late: o.Late, due: deadline, deadline: deadline,
 		limit: time.Duration(waitMargin * float64(left)), done: make(chan struct{}),
 	}
-	if goal := time.Duration(o.Goal); goal > 0 && goal < left {
+	goal := time.Duration(o.Goal)
+	switch {
+	case t.late:
+		t.limit = time.Duration(lateMargin * float64(left))
+	case goal > 0 && goal < left:
 		t.due = now.Add(goal)
-		t.limit = min(max(goal, time.Duration(goalMargin*float64(left))), t.limit)
+		t.limit = max(time.Duration(goalMargin*float64(goal)), min(left/2, goalLeast))
 	}
 	return t
 }
 
-// compare orders by priority, then by due time, then by arrival: a new ticket
-// goes behind its equals.
+// compare orders by priority, then by due time, then by arrival, with late calls
+// behind the others of their priority: a new ticket goes behind its equals.
 func (t *ticket) compare(n *ticket) int {
 	if c := cmp.Compare(t.priority, n.priority); c != 0 {
 		return c
 	}
+	if t.late != n.late {
+		if t.late {
+			return 1
+		}
+		return -1
+	}
 	if t.due.After(n.due) {
 		return 1
 	}
@@ -206,24 +228,20 @@
 	if position < free && !s.isCold(now) {
 		return 0
 	}
-	// The calls in progress are half done on average.
-	d := (work + s.mean()*time.Duration(s.active)/2) / time.Duration(s.slots)
+	slots := time.Duration(s.slots)
+	d := work/slots + min(time.Duration(residueTimes*float64(s.mean()))/slots, s.mean()/2)
 	if s.isCold(now) && s.rate > 0 {
 		d = max(d, time.Duration(float64(position+1)/s.rate*float64(time.Second)))
 	}
 	return d
 }
 
-// mean returns the average of the routes' service times.
+// mean returns the average service time of all calls.
 func (s *Scheduler) mean() time.Duration {
-	if len(s.times) == 0 {
-		return timeFirst
+	if s.average > 0 {
+		return s.average
 	}
-	var sum time.Duration
-	for _, d := range s.times {
-		sum += d
-	}
-	return sum / time.Duration(len(s.times))
+	return timeFirst
 }
 
 func (s *Scheduler) full(wait time.Duration) error {
@@ -306,14 +324,20 @@
 		if s.times == nil {
 			s.times = map[string]time.Duration{}
 		}
-		if old, found := s.times[route]; found {
-			latency = old + time.Duration(timeGain*float64(latency-old))
-		}
-		s.times[route] = latency
+		s.times[route] = blend(s.times[route], latency)
+		s.average = blend(s.average, latency)
 	}
 	s.grant(thclock.Or(s.Clock).Now())
 }
 
+// blend adds a sample to an average; zero is none yet.
+func blend(average, sample time.Duration) time.Duration {
+	if average == 0 {
+		return sample
+	}
+	return average + time.Duration(timeGain*float64(sample-average))
+}
+
 // SetServer tells which backend server is behind the gate. Rate is how many
 // calls a second it bears until cold; slots of zero mean that there is none.
 func (s *Scheduler) SetServer(slots int, leaving bool, cold time.Time, rate float64) {
--- a/thadmit/scheduler_test.go
+++ b/thadmit/scheduler_test.go
@@ -56,6 +56,7 @@
 		s.times = map[string]time.Duration{}
 	}
 	s.times[route] = d
+	s.average = d
 }
 
 func newScheduler(slots int) (*Scheduler, *clockwork.FakeClock) {
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -220,7 +220,7 @@
 		Depth: int(depth), Once: route.Repeat != thconfig.RepeatSafe,
 		Priority: route.Priority,
 	}
-	if !c.patience.returned(route.Name, deadline) {
+	if c.open.Late = c.patience.isLate(route, time.Duration(deadline)*time.Millisecond); !c.open.Late {
 		c.open.Goal = int64(route.Target)
 	}
 	if names.Caller != "" {
--- a/thproxy/patience.go
+++ b/thproxy/patience.go
@@ -1,34 +1,63 @@
 package thproxy
 
 import (
+	"slices"
 	"sync"
-	"sync/atomic"
+	"time"
+
+	"github.com/turmerichaven/turmerichaven/thconfig"
+)
+
+// Constants of patience.
+const (
+	keptDeadlines = 64 // of a route
+	// usualShare of the kept deadlines lie below the usual one. Callers who come
+	// back, of whom there can be two for each new one, all have shorter ones.
+	usualShare = 0.75
+	usualEvery = 8 // calls between updates of the usual deadline
+	// latePart is the part of the usual deadline below which a caller may be one
+	// who comes back: callers differ in their first deadlines by 15%.
+	latePart = 0.8
 )
 
-// returnedPart is the part of the usual deadline of a route below which a caller
-// counts as one that comes back: it has spent the rest on an earlier attempt.
-const returnedPart = 0.9
+// patience knows the usual deadline of the callers of each route. The zero value
+// works.
+type patience struct{ byRoute sync.Map } // name to *deadlines
 
-// patience keeps the longest deadline that callers of each route have sent. The
-// zero value works.
-type patience struct{ byRoute sync.Map }
+// deadlines keeps the latest deadlines of a route's callers.
+type deadlines struct {
+	mutex sync.Mutex
+	kept  [keptDeadlines]time.Duration
+	count int
+	usual time.Duration
+}
 
-// returned notes the deadline of a call in ms, and reports whether its caller
-// seems to come back after an earlier attempt. Its latency objective has
-// passed or will, and it must not be refused again for the sake of it.
-func (p *patience) returned(route string, deadline int64) bool {
-	v, ok := p.byRoute.Load(route)
-	if !ok {
-		v, _ = p.byRoute.LoadOrStore(route, &atomic.Int64{})
+// isLate notes the deadline of a call and reports whether its caller seems to
+// come back after an earlier attempt, so late that the latency objective of the
+// route has passed.
+func (p *patience) isLate(route *thconfig.Route, deadline time.Duration) bool {
+	if route.Target <= 0 {
+		return false
 	}
-	longest := v.(*atomic.Int64)
-	for {
-		known := longest.Load()
-		if deadline <= known {
-			return float64(deadline) < returnedPart*float64(known)
-		}
-		if longest.CompareAndSwap(known, deadline) {
-			return false
-		}
+	v, found := p.byRoute.Load(route.Name)
+	if !found {
+		v, _ = p.byRoute.LoadOrStore(route.Name, &deadlines{})
+	}
+	usual := v.(*deadlines).note(deadline)
+	return deadline < time.Duration(latePart*float64(usual)) && usual-deadline >= route.Target
+}
+
+// note keeps a deadline and returns the usual one.
+func (d *deadlines) note(deadline time.Duration) time.Duration {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.kept[d.count%keptDeadlines] = deadline
+	if d.count%usualEvery == 0 {
+		sorted := d.kept
+		known := sorted[:min(d.count+1, keptDeadlines)]
+		slices.Sort(known)
+		d.usual = known[int(usualShare*float64(len(known)))]
 	}
+	d.count++
+	return d.usual
 }
