--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -75,7 +75,8 @@
 	d.draining.Store(true)
 	d.node.Leave()
 	d.sessions.goAway("stopping")
-	d.announce.withdraw(ctx)
+	// A store that does not answer must not shorten the time for the calls.
+	d.work.Go(func() { d.announce.withdraw(ctx) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Stop.Grace)
 	defer cancel()
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -372,3 +372,22 @@
 	}
 	assert.Assert(t, good > 100, "%d good answers", good)
 }
+
+// Guards against a stop that waits for a store that does not answer, and so
+// outlives the time after which the platform kills the process.
+func TestHostedStopWithoutStore(t *testing.T) {
+	const notice, slack = 500 * time.Millisecond, 400 * time.Millisecond
+	h := newHosted(t, 2)
+	h.configure(1)
+	h.waitServed()
+	h.store.SetFaults(thstandin.RowFaults{Silent: true})
+	began := time.Now()
+	assert.NilError(t, h.nodes[0].daemon.Signal(syscall.SIGTERM))
+	select {
+	case <-h.nodes[0].daemon.Done():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the daemon does not stop")
+	}
+	took := time.Since(began)
+	assert.Assert(t, took <= notice+slack, "stopped after %s", took)
+}
