Give cold servers the calls that the platform's bounds allow

Ruled out: the whole bound (14 a second): the pages say that a server crashes well above the rate it states.

--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -122,7 +122,7 @@
 	rate := 0.0
 	if s := b.holder.Current(); s != nil {
 		service, _ := s.Tables.Service(e.Service)
-		rate = service.Rate
+		rate = b.Settings.Server.Cold * service.Rate
 	}
 	server := e.Server(b.Clock.Now())
 	b.scheduler.SetServer(e.Slots, e.Leaving || e.Gone, e.ColdUntil, rate)
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -65,6 +65,7 @@
 	Service     string         // Service of the backend server. With kind rows, heartbeats of others are refused.
 	Address     netip.AddrPort // Address of the backend server. With kind rows, heartbeats that name another one are refused.
 	Connections int            // Most connections to the backend server.
+	Cold        float64        // With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states.
 	Slots       int            // Highest number of slots that an announcement may claim.
 }
 
@@ -132,6 +133,7 @@
 		s.Server.Connections, err = checkServerConnections(v)
 		return err
 	}},
+	{section: "server", name: "cold", fallback: "1", need: "", set: func(s *Settings, v string) (err error) { s.Server.Cold, err = checkServerCold(v); return err }},
 	{section: "server", name: "slots", fallback: "1000", need: "", set: func(s *Settings, v string) (err error) { s.Server.Slots, err = checkServerSlots(v); return err }},
 	{section: "limits", name: "wait", fallback: "50ms", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Wait, err = checkLimitsWait(v); return err }},
 	{section: "limits", name: "body", fallback: "64KiB", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Body, err = checkLimitsBody(v); return err }},
@@ -205,6 +207,8 @@
 
 func checkServerConnections(v string) (int, error) { return parseCount(v, 1, 10000) }
 
+func checkServerCold(v string) (float64, error) { return parseRatio(v, 0.1, 10) }
+
 func checkServerSlots(v string) (int, error) { return parseCount(v, 1, 100000) }
 
 func checkLimitsWait(v string) (time.Duration, error) {
@@ -308,6 +312,8 @@
 	"#address = \n" +
 	"# Most connections to the backend server. (1 to 10000)\n" +
 	"#connections = 100\n" +
+	"# With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states. (0.1 to 10)\n" +
+	"#cold = 1\n" +
 	"# Highest number of slots that an announcement may claim. (1 to 100000)\n" +
 	"#slots = 1000\n" +
 	"\n" +
@@ -417,6 +423,7 @@
 	"| `service` | label |  |  | no | Service of the backend server. With kind rows, heartbeats of others are refused. |\n" +
 	"| `address` | address |  |  | no | Address of the backend server. With kind rows, heartbeats that name another one are refused. |\n" +
 	"| `connections` | count | 1 to 10000 | `100` | no | Most connections to the backend server. |\n" +
+	"| `cold` | ratio | 0.1 to 10 | `1` | no | With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states. |\n" +
 	"| `slots` | count | 1 to 100000 | `1000` | no | Highest number of slots that an announcement may claim. |\n" +
 	"\n" +
 	"## [limits]\n" +
