Let a setting say when calls leave their zone

Calls left their zone once 0.6 of a server's slots were in use there, so 4 of 6.

Ruled out: 0.8 and more for all platforms: TestFleetSpreadsLoad, where a refused call is not sent elsewhere, then has 0.16% refusals (bound 0.1%).

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -23,7 +23,7 @@
 	// startingWeight keeps most calls away from a server until its own admission
 	// control has found out what it can handle.
 	startingWeight = 0.1
-	// spillShare of a server's limit in use sends calls on to other zones. The
+	// spillShare is Spill where that is not set. The
 	// advertised load is up to one answer old: at 0.8, several daemons of a busy
 	// zone together filled the queues of its servers (see TestFleetSpreadsLoad).
 	spillShare = 0.6
@@ -44,6 +44,9 @@
 	Clock  clockwork.Clock
 	Log    hclog.Logger // nil means none
 	Random *rand.Rand   // nil means the runtime's generator, which needs no lock
+	// Spill is the part of a server's limit in use from which on calls go to other
+	// zones too; zero means spillShare.
+	Spill float64
 
 	view   atomic.Pointer[view]
 	random sync.Mutex // guards Random
--- a/thbalance/balancer_test.go
+++ b/thbalance/balancer_test.go
@@ -69,6 +69,26 @@
 	assert.Assert(t, got["aa"] < 0.3 && got["ab"] > 0.7 && got["ba"] < 0.03, "shares %v", got)
 }
 
+// Pattern: few slots a server, and bytes between zones that are priced. Guards
+// against calls that leave a zone whose server has places, and against a full one
+// that keeps them.
+func TestSpillFollowsTheSetting(t *testing.T) {
+	for _, c := range []struct {
+		spill float64
+		busy  int
+		own   bool
+	}{{0, pageSlots * 5 / 10, true}, {0, pageSlots * 8 / 10, false}, {0.9, pageSlots * 8 / 10, true}, {0.9, pageSlots, false}} {
+		b, _ := balancer("aa")
+		b.Spill = c.spill
+		b.Update(tables(), []thwire.Member{member("x", "aa"), member("y", "ab"), member("z", "ac")})
+		for range c.busy {
+			find(t, b, "x").Begin()
+		}
+		got := spread(t, b, 1000)["aa"]
+		assert.Equal(t, got > 0.99, c.own, "spill %v, %d of %d slots in use: share %v", c.spill, c.busy, pageSlots, got)
+	}
+}
+
 // Guards against one zone that takes all calls of a service that the own zone lacks.
 func TestEvenSpreadWithoutOwnZone(t *testing.T) {
 	b, _ := balancer("aa")
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -232,7 +232,11 @@
 func (s *Server) busy(at int64) int64 { return max(s.inflight.Load(), s.advertised(at)) }
 
 func (s *Server) hasRoom(now time.Time) bool {
-	return float64(s.busy(now.UnixNano())) < spillShare*float64(s.capacity())
+	spill := s.balancer.Spill
+	if spill == 0 {
+		spill = spillShare
+	}
+	return float64(s.busy(now.UnixNano())) < spill*float64(s.capacity())
 }
 
 // score is the load by which two candidates compare. The call itself is
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -164,7 +164,7 @@
 	d.node = &thmember.Node{Member: self, Clock: d.Clock, Log: d.Log.Named("member")}
 	d.admin = thadmin.Admin{Gatherer: d.metrics.Registry(), Ready: d.reasons, Status: d.status, Log: d.Log.Named("admin")}
 	d.mover = &thmove.Mover{Fleet: fleet{d.node}, Clock: d.Clock, Log: d.Log.Named("move")}
-	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance")}
+	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance"), Spill: s.Limits.Spill}
 	d.announce = &announcer{
 		store: d.platform.Store, spread: s.Peers.Spread, alone: s.Platform.Kind == thsettings.KindRows && s.Daemon.Bootstrap != "true",
 		node: d.node, clock: d.Clock, log: d.Log.Named("announce"), lost: make(chan struct{}, 1),
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -72,6 +72,7 @@
 // LimitsSettings is section [limits]. Limits on calls.
 type LimitsSettings struct {
 	Wait   time.Duration // Longest time that a call waits in the admission queue.
+	Spill  float64       // Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere.
 	Body   int           // Largest request body that is buffered for a retry.
 	Depth  int           // Highest call depth.
 	Claims int           // Idempotency claims written per second.
@@ -136,6 +137,7 @@
 	{section: "server", name: "cold", fallback: "1", need: "", set: func(s *Settings, v string) (err error) { s.Server.Cold, err = checkServerCold(v); return err }},
 	{section: "server", name: "slots", fallback: "1000", need: "", set: func(s *Settings, v string) (err error) { s.Server.Slots, err = checkServerSlots(v); return err }},
 	{section: "limits", name: "wait", fallback: "50ms", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Wait, err = checkLimitsWait(v); return err }},
+	{section: "limits", name: "spill", fallback: "0.6", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Spill, err = checkLimitsSpill(v); return err }},
 	{section: "limits", name: "body", fallback: "64KiB", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Body, err = checkLimitsBody(v); return err }},
 	{section: "limits", name: "depth", fallback: "10", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Depth, err = checkLimitsDepth(v); return err }},
 	{section: "limits", name: "claims", fallback: "20", need: "", set: func(s *Settings, v string) (err error) { s.Limits.Claims, err = checkLimitsClaims(v); return err }},
@@ -215,6 +217,8 @@
 	return parseDuration(v, 0*time.Second, 10*time.Second)
 }
 
+func checkLimitsSpill(v string) (float64, error) { return parseRatio(v, 0, 1) }
+
 func checkLimitsBody(v string) (int, error) { return parseBytes(v, "0B", "16MiB") }
 
 func checkLimitsDepth(v string) (int, error) { return parseCount(v, 1, 100) }
@@ -321,6 +325,8 @@
 	"[limits]\n" +
 	"# Longest time that a call waits in the admission queue. (0s to 10s)\n" +
 	"#wait = 50ms\n" +
+	"# Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere. (0 to 1)\n" +
+	"#spill = 0.6\n" +
 	"# Largest request body that is buffered for a retry. (0B to 16MiB)\n" +
 	"#body = 64KiB\n" +
 	"# Highest call depth. (1 to 100)\n" +
@@ -433,6 +439,7 @@
 	"| key | type | range | default | required | meaning |\n" +
 	"| --- | --- | --- | --- | --- | --- |\n" +
 	"| `wait` | duration | 0s to 10s | `50ms` | no | Longest time that a call waits in the admission queue. |\n" +
+	"| `spill` | ratio | 0 to 1 | `0.6` | no | Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere. |\n" +
 	"| `body` | bytes | 0B to 16MiB | `64KiB` | no | Largest request body that is buffered for a retry. |\n" +
 	"| `depth` | count | 1 to 100 | `10` | no | Highest call depth. |\n" +
 	"| `claims` | count | 1 to 1000 | `20` | no | Idempotency claims written per second. |\n" +
