--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -47,9 +47,9 @@
 
 // Scheduler admits calls to a backend server that tells its slots and how many
 // calls a second it bears while it is cold. Calls beyond that wait by priority,
-// in order of arrival among equals. A call is refused at once when it would
-// wait longer than its deadline allows. The zero value refuses everything as
-// Unready until SetServer.
+// in order of arrival among equals, and late calls behind the others. A call is
+// refused at once when it would be served after its latency objective. The zero
+// value refuses everything as Unready until SetServer.
 type Scheduler struct {
 	Clock clockwork.Clock
 
