Serve requests that were sent ahead beside each other

Cause: the ingress stood on net/http's server, which reads the next request of a connection after the answer to the one ahead. Ruled out: one virtual connection for each request into net/http (a second framing of its own, and twice the buffers); parsing of our own (heads and bodies are read by net/http, names are checked by httpguts). Change: package thhttp. One goroutine reads the requests of a connection, up to 16 ahead; each is handled by its own; answers go back in order, at most 64 KiB of each is held. A call that may run once waits for the answers ahead (Ordered.Begin), with its deadline running. Connections close with an answer that no request follows. HTTP/2 connections are handed to net/http. A stopping daemon drains connections from the begin of its notice on.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,7 +20,7 @@
 	"github.com/turmerichaven/turmerichaven/thbalance"
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
-	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhttp"
 	"github.com/turmerichaven/turmerichaven/thlog"
 	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/thmetric"
@@ -36,9 +35,6 @@
 )
 
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10 // bytes of a request's header
 	shareInterval = time.Second
 	logTimeout    = time.Second // for the last lines of a process that ends
 )
@@ -72,7 +68,8 @@
 	listener  *thwire.Listener
 	announce  *announcer
 	servers   []*http.Server
-	calls     *http.Server // ingress
+	calls     *thhttp.Server // ingress
+	upgraded  *http.Server   // ingress, for callers that speak HTTP/2
 	sessions  sessions
 	updates   updater
 	joined    atomic.Bool // the daemon knows the fleet, or has waited long enough for it
@@ -331,46 +328,3 @@
 	}()
 	return nil
 }
-
-// serve opens the HTTP addresses.
-func (d *Daemon) serve(ctx context.Context) error {
-	l := d.Settings.Listen
-	var err error
-	if d.calls, err = d.listen(ctx, l.Ingress, d.ingress); err != nil {
-		return err
-	}
-	if _, err = d.listen(ctx, l.Local, d.local); err != nil {
-		return err
-	}
-	if l.Ready.IsValid() {
-		if _, err = d.listen(ctx, l.Ready, d.readiness); err != nil {
-			return err
-		}
-	}
-	_, err = d.listen(ctx, l.Admin, d.admin.Handler())
-	return err
-}
-
-func (d *Daemon) listen(ctx context.Context, address netip.AddrPort, h http.Handler) (*http.Server, error) {
-	var config net.ListenConfig
-	l, err := config.Listen(ctx, "tcp", address.String())
-	if err != nil {
-		return nil, therror.Wrap(therror.Bad, err, "listen on %s", address)
-	}
-	var protocols http.Protocols
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		Protocols: &protocols, ErrorLog: d.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-	d.servers = append(d.servers, s)
-	d.work.Add(1)
-	go func() {
-		defer d.work.Done()
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			d.failed <- therror.Wrap(therror.Internal, err, "serve %s", address)
-		}
-	}()
-	return s, nil
-}
--- /dev/null
+++ b/thdaemon/listen.go
@@ -0,0 +1,97 @@
+package thdaemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhttp"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10 // bytes of a request's header
+)
+
+// serve opens the HTTP addresses.
+func (d *Daemon) serve(ctx context.Context) error {
+	l := d.Settings.Listen
+	if err := d.serveCalls(ctx, l.Ingress); err != nil {
+		return err
+	}
+	if err := d.listen(ctx, l.Local, d.local); err != nil {
+		return err
+	}
+	if l.Ready.IsValid() {
+		if err := d.listen(ctx, l.Ready, d.readiness); err != nil {
+			return err
+		}
+	}
+	return d.listen(ctx, l.Admin, d.admin.Handler())
+}
+
+// serveCalls opens the address of the callers. Those that speak HTTP/2 are
+// served by net/http.
+func (d *Daemon) serveCalls(ctx context.Context, address netip.AddrPort) error {
+	l, err := open(ctx, address)
+	if err != nil {
+		return err
+	}
+	handover := &thhttp.Handover{Address: l.Addr()}
+	d.upgraded = d.newServer(d.ingress)
+	d.calls = &thhttp.Server{
+		Handler: d.ingress, HTTP2: handover.Give, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeader: maxHeader, Clock: d.Clock, Log: d.Log.Named("http"),
+	}
+	d.run(address, func() error { return d.upgraded.Serve(handover) })
+	d.run(address, func() error { return d.calls.Serve(l) })
+	return nil
+}
+
+func (d *Daemon) listen(ctx context.Context, address netip.AddrPort, h http.Handler) error {
+	l, err := open(ctx, address)
+	if err != nil {
+		return err
+	}
+	s := d.newServer(h)
+	d.run(address, func() error { return s.Serve(l) })
+	return nil
+}
+
+func open(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, therror.Wrap(therror.Bad, err, "listen on %s", address)
+	}
+	return l, nil
+}
+
+// newServer returns a server that close closes.
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Protocols: &protocols, ErrorLog: d.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	d.servers = append(d.servers, s)
+	return s
+}
+
+// run serves an address until the daemon stops.
+func (d *Daemon) run(address netip.AddrPort, serve func() error) {
+	d.work.Go(func() {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			d.failed <- therror.Wrap(therror.Internal, err, "serve %s", address)
+		}
+	})
+}
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -73,6 +74,7 @@
 func (d *Daemon) stop(ctx context.Context) {
 	d.Log.Info("daemon stops", "notice", d.Settings.Stop.Notice, "grace", d.Settings.Stop.Grace)
 	d.draining.Store(true)
+	d.calls.Drain()
 	d.node.Leave()
 	d.sessions.goAway("stopping")
 	// A store that does not answer must not shorten the time for the calls.
@@ -80,7 +82,7 @@
 	d.Clock.Sleep(d.Settings.Stop.Notice)
 	ctx, cancel := context.WithTimeout(ctx, d.Settings.Stop.Grace)
 	defer cancel()
-	if err := d.calls.Shutdown(ctx); err != nil {
+	if err := errors.Join(d.calls.Shutdown(ctx), d.upgraded.Shutdown(ctx)); err != nil {
 		d.Log.Warn("calls cut at the end of the grace time", "error", err)
 	}
 	for d.sessions.active() > 0 && ctx.Err() == nil {
@@ -96,6 +98,9 @@
 
 // close releases everything; after stop nothing is in progress any more.
 func (d *Daemon) close() {
+	if d.calls != nil {
+		_ = d.calls.Close()
+	}
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- /dev/null
+++ b/thproxy/ahead_test.go
@@ -0,0 +1,94 @@
+package thproxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/therror"
+)
+
+// ahead sends requests on one connection without waiting for an answer and
+// returns the answers' statuses, outcomes and bodies.
+func ahead(t *testing.T, m *mesh, heads ...string) []string {
+	t.Helper()
+	c, err := net.Dial("tcp", m.front.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	for _, h := range heads {
+		_, err = io.WriteString(c, h+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+	}
+	r := bufio.NewReader(c)
+	var list []string
+	for range heads {
+		a, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		b, err := io.ReadAll(a.Body)
+		assert.NilError(t, err)
+		if a.StatusCode >= 400 {
+			b = []byte(a.Header.Get(HeaderOutcome))
+		}
+		list = append(list, fmt.Sprint(a.StatusCode, " ", string(b)))
+	}
+	return list
+}
+
+// Pattern: callers who send several reads at once, the first of them slow.
+// Guards against calls that reach their server only after the one ahead, and
+// against a refusal of one of them that counts for the others.
+func TestCallsSentAhead(t *testing.T) {
+	last := make(chan struct{})
+	m := newMesh(t, thconfig.Route{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/0":
+			<-last
+		case "/3":
+			close(last)
+		}
+		io.WriteString(w, r.URL.Path)
+	}))
+	assert.DeepEqual(t, ahead(t, m, "GET /0", "GET /1", "GET /none", "GET /3"),
+		[]string{"200 /0", "200 /1", "404 not-run", "200 /3"})
+}
+
+// Pattern: a read and a booking sent ahead together. Guards against a booking that
+// runs although an answer ahead of it may still close the connection, so that its
+// caller sends it again; one whose time passes meanwhile has not run.
+func TestOnceWaitsForCallsAhead(t *testing.T) {
+	var first, bookings atomic.Int32
+	m := newMesh(t, once, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			bookings.Add(1)
+			assert.Check(t, first.Load() == 2, "the calls ahead are in progress")
+			return
+		}
+		time.Sleep(60 * time.Millisecond)
+		first.Add(1)
+	}))
+	assert.DeepEqual(t, ahead(t, m, "GET /0", "GET /1", "POST /2\u0020HTTP/1.1\r\nContent-Length: 0\r\nX:"),
+		[]string{"200 ", "200 ", "200 "})
+	assert.Equal(t, bookings.Load(), int32(1))
+
+	first.Store(0)
+	assert.DeepEqual(t, ahead(t, m, "GET /0", "POST /1\u0020HTTP/1.1\r\nContent-Length: 0\r\n"+HeaderDeadline+": 20\r\nX:"),
+		[]string{"200 ", "503 not-run"})
+	assert.Equal(t, bookings.Load(), int32(1))
+}
+
+// Guards against a full server whose refusals of calls sent ahead are merged, or
+// close the connection.
+func TestRefusalsOfCallsSentAhead(t *testing.T) {
+	m := newMesh(t, thconfig.Route{}, http.HandlerFunc(echoHandler))
+	m.gates[0].refusal.Store(therror.New(therror.Full, "full").After(time.Second))
+	assert.DeepEqual(t, ahead(t, m, "GET /0", "GET /1", "GET /2"), []string{"503 not-run", "503 not-run", "503 not-run"})
+}
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -79,6 +79,13 @@
 	Repeat(pool string, priority int) bool
 }
 
+// Ordered is a writer whose request was sent ahead, on a connection that has
+// earlier ones. Begin waits until the call may run beside those; one that must
+// run alone waits for the answers to all of them.
+type Ordered interface {
+	Begin(ctx context.Context, alone bool) error
+}
+
 // Metrics counts finished calls. The outcome is empty for an answer of a
 // backend server and an error kind otherwise; added is the time until the head
 // of the answer less that of the backend server, zero where that is unknown.
@@ -168,7 +175,9 @@
 		defer cancel()
 		c.ctx = ctx
 		defer c.body.stop()
-		err = c.run()
+		if err = c.begin(); err == nil {
+			err = c.run()
+		}
 	}
 	if err != nil && !c.headed {
 		c.answer(err)
@@ -177,6 +186,22 @@
 	return err
 }
 
+// begin waits for the calls ahead on the caller's connection.
+func (c *call) begin() error {
+	o, ok := c.writer.(Ordered)
+	if !ok {
+		return nil
+	}
+	switch err := o.Begin(c.ctx, c.open.Once); {
+	case err == nil:
+		return nil
+	case c.ctx.Err() != nil && !therror.Is(contextError(c.ctx), therror.Cancelled):
+		return therror.Wrap(therror.Down, err, "deadline passed behind another call")
+	default:
+		return therror.Wrap(therror.Cancelled, err, "call ended behind another one")
+	}
+}
+
 // prepare matches the request and fills the open frame.
 func (c *call) prepare() error {
 	if c.Ready != nil && !c.Ready() {
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -12,10 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhttp"
 	"github.com/turmerichaven/turmerichaven/thonce"
 	"github.com/turmerichaven/turmerichaven/thstore"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -109,7 +111,7 @@
 	targets  []*Target
 	gates    []*fakeGate
 	servers  []*httptest.Server
-	front    *httptest.Server
+	front    *front
 	client   *http.Client
 	goAway   func() // sends GoAway on all sessions of the first target
 }
@@ -132,17 +134,44 @@
 	m.ingress = &Ingress{Self: "ingress", Balancer: m.balancer, Dialer: d, Router: func() (uint64, func(*http.Request) (*thconfig.Route, bool), bool) {
 		return 1, func(r *http.Request) (*thconfig.Route, bool) { return &m.route, r.URL.Path != "/none" }, true
 	}}
-	m.front = httptest.NewUnstartedServer(m.ingress)
-	m.front.Config.ErrorLog = log.New(faultLog{t}, "", 0)
-	m.front.Config.Protocols = new(http.Protocols)
-	m.front.Config.Protocols.SetHTTP1(true)
-	m.front.Config.Protocols.SetUnencryptedHTTP2(true)
-	m.front.Start()
-	m.client = m.front.Client()
-	t.Cleanup(m.front.Close)
+	m.front = newFront(t, m.ingress)
+	m.client = &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(m.client.CloseIdleConnections)
 	return m
 }
 
+// front serves callers as a daemon does.
+type front struct {
+	URL      string
+	Listener net.Listener
+	calls    *thhttp.Server
+	upgraded *http.Server
+}
+
+func newFront(t testing.TB, h http.Handler) *front {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	handover := &thhttp.Handover{Address: l.Addr()}
+	f := &front{URL: "http://" + l.Addr().String(), Listener: l, calls: &thhttp.Server{Handler: h, HTTP2: handover.Give}}
+	f.upgraded = &http.Server{Handler: h, Protocols: new(http.Protocols), ErrorLog: log.New(faultLog{t}, "", 0)}
+	f.upgraded.Protocols.SetHTTP1(true)
+	f.upgraded.Protocols.SetUnencryptedHTTP2(true)
+	f.calls.Log = hclog.New(&hclog.LoggerOptions{Level: hclog.Error, Output: faultLog{t}})
+	go f.calls.Serve(l)
+	go f.upgraded.Serve(handover)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// Close waits for the handlers.
+func (f *front) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = f.calls.Shutdown(ctx)
+	_ = f.calls.Close()
+	_ = f.upgraded.Close()
+}
+
 func (m *mesh) add(t testing.TB, name string, h http.Handler, claims thonce.Claims) {
 	server := httptest.NewServer(h)
 	gate := &fakeGate{}
