Read the operators' rows with four daemons of the fleet

Ruled out: one reader with a lease (its pause delays all); two readers (a zone may be lost and a third of the daemons turned away). Change: the first four of twelve candidates, taken from the zones in turn, read for all. One that the source does not answer twice tells the fleet (Member.Blind) and is replaced; after ten seconds it may read again. The first daemon of a zone without a reader fetches from other zones at once. After a series of changes one answer of the feed takes the place of a whole read. A page of announcements is read in one call where eight rows are found.

--- a/thmember/node.go
+++ b/thmember/node.go
@@ -290,6 +290,24 @@
 	n.signal()
 }
 
+// SetBlind floods whether the source of the configuration answers this daemon.
+func (n *Node) SetBlind(blind bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.done == nil {
+		n.Member.Blind = blind
+		return
+	}
+	m := n.state.members[n.Member.Name].member
+	if m.Blind == blind {
+		return
+	}
+	m.Blind = blind
+	m.Sequence++
+	n.state.putMember(m, "", n.Clock.Now())
+	n.signal()
+}
+
 // Leave floods that this daemon is leaving and tells every connected peer.
 func (n *Node) Leave() {
 	if !n.started() {
--- a/thstore/announce.go
+++ b/thstore/announce.go
@@ -14,6 +14,9 @@
 
 const (
 	maxName = 255 // bytes
+	// wrapBelow is the number of rows up to the last name from which on a page needs
+	// no second read from the first name: they are enough to find a fleet by.
+	wrapBelow = 8
 	// fleetPage bounds the announcements that Fleet reads: about 16 KB, which is
 	// four reads of the table service. After a restore every live daemon announces
 	// itself again, so that any page shows the fleet's version.
@@ -84,14 +87,14 @@
 }
 
 // Announcements reads up to limit announcements from a name on, in order, and
-// continues at the first name after the last. Expired ones and ones that cannot
+// continues at the first name where there are few up to the last. Expired ones and ones that cannot
 // be decoded are left out.
 func (s *Store) Announcements(ctx context.Context, from string, limit int) ([]Announcement, error) {
 	items, err := s.Table.Query(ctx, partitionMember, from, "", limit)
 	if err != nil {
 		return nil, err
 	}
-	if from != "" && len(items) < limit {
+	if from != "" && len(items) < min(limit, wrapBelow) {
 		more, err := s.Table.Query(ctx, partitionMember, "", from, limit-len(items))
 		if err != nil {
 			return nil, err
--- a/thsync/fake_test.go
+++ b/thsync/fake_test.go
@@ -128,6 +128,7 @@
 func (p peers) Self() thwire.Member                  { return p.m.view.Members[p.i] }
 func (p peers) View() *thmember.View                 { return p.m.view }
 func (p peers) SetHeld(uint64, []byte)               {}
+func (p peers) SetBlind(bool)                        {}
 func (p peers) Handle(thwire.Type, thmember.Handler) {}
 func (p peers) SendAll(t thwire.Type, m thwire.Message, except string) {
 	for _, name := range p.Neighbours() {
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
-	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/throute"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
@@ -47,13 +45,17 @@
 	// Changes in quick succession then cost one call for several. The rest of Apply
 	// is for the way from the readers to the other daemons.
 	followPause = 0.4
+	// blindAfter is the number of questions without an answer after which others
+	// take over reading, and blindTime the time until this daemon may read again.
+	blindAfter = 2
+	blindTime  = 10 * time.Second
 	// followApply is Apply where it is not set.
 	followApply = 2 * time.Second
 )
 
 // Follower holds the snapshot in effect on a daemon whose configuration lies in
-// a Source. A few daemons of each zone follow the source, so that the calls to it
-// do not grow with the fleet; each daemon reads it once after its start, and takes
+// a Source. A few daemons follow the source, so that the calls to it grow neither
+// with the fleet nor with its zones; each daemon reads it once after its start, and takes
 // newer tables from other daemons, which also keeps one current that is cut off
 // from the source. Set the exported fields and call Watch and Prepare before
 // Start; start it before the Peers, since it sets their handlers.
@@ -67,15 +69,16 @@
 	// other daemons only for versions that it has not found until then.
 	Apply time.Duration
 
-	current   atomic.Pointer[Snapshot]
-	status    atomic.Pointer[Status]
-	duty      atomic.Pointer[duty]
-	lost      atomic.Bool   // the source did not answer the last question
-	once      atomic.Bool   // the source is to be read once, also by a daemon that is no reader
-	called    chan struct{} // wakes follow when this daemon has become a reader
-	newer     chan struct{} // wakes follow when another daemon holds a newer version
-	watchers  []func(*Snapshot)
-	preparers []func(*Snapshot)
+	current    atomic.Pointer[Snapshot]
+	status     atomic.Pointer[Status]
+	duty       atomic.Pointer[duty]
+	lost       atomic.Bool   // the source did not answer the last question
+	blindSince atomic.Int64  // when others took over reading, ns since 1970; zero if they did not
+	once       atomic.Bool   // the source is to be read once, also by a daemon that is no reader
+	called     chan struct{} // wakes follow when this daemon has become a reader
+	newer      chan struct{} // wakes follow when another daemon holds a newer version
+	watchers   []func(*Snapshot)
+	preparers  []func(*Snapshot)
 
 	mutex   sync.Mutex // serialises swaps
 	latest  *thconfig.Orders
@@ -94,12 +97,6 @@
 	done   chan struct{}
 }
 
-// duty says whether this daemon follows the source, as of a view of the members.
-type duty struct {
-	view   *thmember.View
-	reader bool
-}
-
 // Start begins to follow the source.
 func (f *Follower) Start(ctx context.Context) error {
 	if f.Source == nil || f.Peers == nil {
@@ -158,16 +155,19 @@
 	return Status{}
 }
 
-// OnDuty reports whether this daemon reads the source for its zone.
-func (f *Follower) OnDuty() bool {
+// OnDuty reports whether this daemon reads the source for the others.
+func (f *Follower) OnDuty() bool { return f.part().reader }
+
+// part returns this daemon's part, computed once for each view.
+func (f *Follower) part() *duty {
 	v := f.Peers.View()
 	if d := f.duty.Load(); d != nil && d.view == v {
-		return d.reader
+		return d
 	}
 	self := f.Peers.Self()
-	d := &duty{view: v, reader: v == nil || slices.Contains(readers(v, self.Zone), self.Name)}
+	d := newDuty(v, &self)
 	f.duty.Store(d)
-	return d.reader
+	return d
 }
 
 // await returns when a question to the source is due: at once on a reader, and
@@ -186,7 +186,7 @@
 
 // follow asks the source for changes, one question at a time.
 func (f *Follower) follow(ctx context.Context) {
-	backoff, lost, seen := followBackoff, time.Time{}, uint64(0)
+	backoff, lost, seen, failures := followBackoff, time.Time{}, uint64(0), 0
 	for ctx.Err() == nil {
 		if f.await(ctx) {
 			// What was missed may be long; what holds now is short.
@@ -203,6 +203,10 @@
 				f.Log.Warn("configuration source lost", "version", f.version(), "error", err)
 			}
 			f.lost.Store(true)
+			failures++
+			if failures >= blindAfter {
+				f.blind(true)
+			}
 			f.Source.Again()
 			f.sleep(ctx, backoff/2+rand.N(backoff))
 			backoff = min(2*backoff, followRetry)
@@ -212,14 +216,14 @@
 			lost = time.Time{}
 		}
 		f.lost.Store(false)
-		backoff = followBackoff
+		f.blind(false)
+		backoff, failures = followBackoff, 0
 		if o != nil {
 			f.take(o)
 			if o.Version > seen {
 				seen = o.Version
-				// Further changes often follow. One read then replaces them all.
+				// Further changes often follow. One answer then holds them all.
 				f.pause(ctx)
-				f.Source.Again()
 			}
 		}
 	}
@@ -330,6 +334,7 @@
 			return
 		case <-t.Chan():
 		}
+		f.regain()
 		if f.OnDuty() {
 			wake(f.called)
 		}
@@ -341,6 +346,28 @@
 	}
 }
 
+// blind tells the fleet whether the source answers this daemon, so that others
+// read it in its place.
+func (f *Follower) blind(lost bool) {
+	if !lost {
+		f.blindSince.Store(0)
+		f.Peers.SetBlind(false)
+		return
+	}
+	if f.blindSince.CompareAndSwap(0, f.Clock.Now().UnixNano()) {
+		f.Log.Warn("others read the configuration source in place of this daemon", "version", f.version())
+		f.Peers.SetBlind(true)
+	}
+}
+
+// regain makes a daemon that the source did not answer a candidate again after a while.
+func (f *Follower) regain() {
+	since := f.blindSince.Load()
+	if since != 0 && f.Clock.Now().UnixNano()-since >= int64(blindTime) && f.blindSince.CompareAndSwap(since, 0) {
+		f.Peers.SetBlind(false)
+	}
+}
+
 // wake signals on a channel with room for one signal.
 func wake(c chan struct{}) {
 	select {
@@ -370,7 +397,8 @@
 			near = append(near, m.Name)
 		}
 	}
-	reads := f.OnDuty() && !f.lost.Load()
+	part := f.part()
+	reads := part.reader && !f.lost.Load()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := f.Clock.Now()
@@ -390,7 +418,7 @@
 		return ""
 	case len(near) > 0:
 		newer = near
-	case !reads && late < followFar:
+	case !reads && !part.head && late < followFar:
 		return ""
 	}
 	f.asked = now
--- a/thsync/follow_test.go
+++ b/thsync/follow_test.go
@@ -48,6 +48,7 @@
 	all      map[string]*fakePeers
 	held     map[string]thwire.Held
 	dead     map[string]bool
+	blind    map[string]bool
 	handlers map[thwire.Type]thmember.Handler
 	sent     int
 }
@@ -59,7 +60,7 @@
 	defer p.mutex.Unlock()
 	v := &thmember.View{Held: map[string]thwire.Held{}}
 	for n := range p.all {
-		m := thwire.Member{Name: n}
+		m := thwire.Member{Name: n, Blind: p.blind[n]}
 		if p.dead[n] {
 			m.State = thwire.MemberDead
 		}
@@ -91,15 +92,21 @@
 	p.held[p.name] = thwire.Held{Name: p.name, Version: version}
 }
 
+func (p *fakePeers) SetBlind(blind bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.blind[p.name] = blind
+}
+
 func (p *fakePeers) Handle(t thwire.Type, h thmember.Handler) { p.handlers[t] = h }
 
 func newFollowers(t *testing.T, clock clockwork.Clock, names ...string) ([]*Follower, []*fakeSource) {
 	var mutex sync.Mutex
-	all, held, dead := map[string]*fakePeers{}, map[string]thwire.Held{}, map[string]bool{}
+	all, held, dead, blind := map[string]*fakePeers{}, map[string]thwire.Held{}, map[string]bool{}, map[string]bool{}
 	var followers []*Follower
 	var sources []*fakeSource
 	for _, n := range names {
-		p := &fakePeers{name: n, mutex: &mutex, all: all, held: held, dead: dead, handlers: map[thwire.Type]thmember.Handler{}}
+		p := &fakePeers{name: n, mutex: &mutex, all: all, held: held, dead: dead, blind: blind, handlers: map[thwire.Type]thmember.Handler{}}
 		all[n] = p
 		s := newSource()
 		f := &Follower{Source: s, Peers: p, Clock: clock, Apply: time.Millisecond}
@@ -231,7 +238,7 @@
 			others = append(others, i)
 		}
 	}
-	assert.Equal(t, len(reading), pollers)
+	assert.Equal(t, len(reading), sourceReaders)
 	for version := uint64(3); version < 6; version++ {
 		for _, i := range reading {
 			sources[i].orders <- order(version, version, 3)
@@ -256,7 +263,7 @@
 				asking++
 			}
 		}
-		return asking == pollers
+		return asking == sourceReaders
 	})
 }
 
@@ -341,7 +348,7 @@
 // Pattern: a change that the next version takes back, while daemons read at
 // different times. Guards against tables with the change in them.
 func TestFollowerTakesBackAChange(t *testing.T) {
-	followers, sources := newFollowers(t, nil, "a", "b", "c", "d")
+	followers, sources := newFollowers(t, nil, "a", "b", "c", "d", "e")
 	var reading []int
 	var other *Follower
 	for i, s := range sources {
--- a/thsync/holder.go
+++ b/thsync/holder.go
@@ -36,6 +36,7 @@
 	Send(name string, t thwire.Type, m thwire.Message) error
 	Neighbours() []string
 	SetHeld(version uint64, digest []byte)
+	SetBlind(blind bool)
 	Handle(t thwire.Type, h thmember.Handler)
 }
 
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -63,6 +63,7 @@
 	Sequence    uint64         `msg:"q"`
 	State       int            `msg:"s"`
 	Server      *Server        `msg:"b"` // nil while no backend server has announced itself
+	Blind       bool           `msg:"x"` // the source of the configuration does not answer this daemon
 }
 
 // Server describes the backend server beside a daemon.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1784,8 +1784,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 10
-	o = append(o, 0x9a)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendString(o, z.Name)
 	o = msgp.AppendString(o, z.Zone)
 	o = msgp.AppendString(o, z.Region)
@@ -1822,6 +1822,7 @@
 			return
 		}
 	}
+	o = msgp.AppendBool(o, z.Blind)
 	return
 }
 
@@ -1833,8 +1834,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 10 {
-		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Name, bts, err = msgp.ReadStringBytes(bts)
@@ -1925,6 +1926,11 @@
 			return
 		}
 	}
+	z.Blind, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Blind")
+		return
+	}
 	o = bts
 	return
 }
@@ -1946,6 +1952,7 @@
 	} else {
 		s += z.Server.Msgsize()
 	}
+	s += msgp.BoolSize
 	return
 }
 
