--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/thproxy"
+	"github.com/turmerichaven/turmerichaven/thsettings"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -69,10 +70,21 @@
 	}
 }
 
+// endMargin is the time left to a stopping daemon for its end after the last call.
+const endMargin = 500 * time.Millisecond
+
+// grace returns the time for the calls in progress after the notice.
+func grace(s thsettings.StopSettings) time.Duration {
+	if s.Limit == 0 {
+		return s.Grace
+	}
+	return max(s.Limit-s.Notice-endMargin, 0)
+}
+
 // stop ends the work without cutting a call: tell the fleet, wait for the news
 // to spread, then let the calls in progress complete.
 func (d *Daemon) stop(ctx context.Context) {
-	d.Log.Info("daemon stops", "notice", d.Settings.Stop.Notice, "grace", d.Settings.Stop.Grace)
+	d.Log.Info("daemon stops", "notice", d.Settings.Stop.Notice, "grace", grace(d.Settings.Stop))
 	d.draining.Store(true)
 	d.calls.Drain()
 	d.node.Leave()
@@ -80,7 +92,7 @@
 	// A store that does not answer must not shorten the time for the calls.
 	d.work.Go(func() { d.announce.withdraw(ctx) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
-	ctx, cancel := context.WithTimeout(ctx, d.Settings.Stop.Grace)
+	ctx, cancel := context.WithTimeout(ctx, grace(d.Settings.Stop))
 	defer cancel()
 	if err := errors.Join(d.calls.Shutdown(ctx), d.upgraded.Shutdown(ctx)); err != nil {
 		d.Log.Warn("calls cut at the end of the grace time", "error", err)
--- a/thdaemon/update.go
+++ b/thdaemon/update.go
@@ -14,13 +14,21 @@
 // the 20 ms of a core that the control plane has in each second.
 const updateInterval = 50 * time.Millisecond
 
+// A rebuild that takes long, as on a small share of a core in a large fleet, is
+// followed by a pause of updatePause times its length, up to updateMost.
+const (
+	updatePause = 20
+	updateMost  = 400 * time.Millisecond
+)
+
 // updater runs a function after changes, several of which share one run.
 type updater struct {
 	clock clockwork.Clock
 	run   func()
 
-	mu      sync.Mutex // serialises the runs too
-	last    time.Time
+	mu      sync.Mutex      // serialises the runs too
+	last    time.Time       // end of the last run
+	pause   time.Duration   // after the last run; zero before the first
 	timer   clockwork.Timer // nil unless a run is due
 	stopped bool
 }
@@ -32,11 +40,11 @@
 	u.do()
 }
 
-// soon runs the function at once, or updateInterval after its last run.
+// soon runs the function at once, or after the pause that its last run asks for.
 func (u *updater) soon() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	wait := updateInterval - u.clock.Since(u.last)
+	wait := u.pause - u.clock.Since(u.last)
 	switch {
 	case u.timer != nil || u.stopped:
 	case wait <= 0:
@@ -54,8 +62,10 @@
 		u.timer.Stop()
 		u.timer = nil
 	}
-	u.last = u.clock.Now()
+	begun := u.clock.Now()
 	u.run()
+	u.last = u.clock.Now()
+	u.pause = min(max(updateInterval, updatePause*u.last.Sub(begun)), updateMost)
 }
 
 // stop prevents further runs and waits for one in progress.
--- a/thdaemon/update_test.go
+++ b/thdaemon/update_test.go
@@ -43,6 +43,34 @@
 	assert.Equal(t, runs.Load(), int64(3))
 }
 
+// Pattern: a large fleet whose members change all the time, on a small share of a
+// core. Guards against rebuilds that take most of it.
+func TestLongUpdatesArePaced(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	for _, c := range []struct{ takes, pause time.Duration }{
+		{time.Millisecond, updateInterval}, {10 * time.Millisecond, 200 * time.Millisecond}, {time.Second, updateMost},
+	} {
+		var runs atomic.Int64
+		u := updater{clock: clock, run: func() {
+			runs.Add(1)
+			clock.Advance(c.takes)
+		}}
+		u.soon()
+		u.soon()
+		assert.Equal(t, runs.Load(), int64(1))
+		clock.Advance(c.pause - 1)
+		assert.Equal(t, runs.Load(), int64(1))
+		clock.Advance(1)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if runs.Load() == 2 {
+				return poll.Success()
+			}
+			return poll.Continue("%d runs", runs.Load())
+		}, poll.WithTimeout(5*time.Second))
+		u.stop()
+	}
+}
+
 // Guards against a daemon that is alive again after a freeze and gets no calls
 // until the backoff of dials that failed meanwhile has passed.
 func TestReturnedMember(t *testing.T) {
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -93,6 +93,7 @@
 
 // StopSettings is section [stop]. Graceful shutdown.
 type StopSettings struct {
+	Limit  time.Duration // Time after the signal at which the platform kills the process. The calls in progress then have until half a second before it, in place of stop.grace. Zero means that it is not known.
 	Notice time.Duration // Time between the notice to the fleet and the end of accepting calls.
 	Grace  time.Duration // Longest time that calls in progress may take to complete.
 }
@@ -146,6 +147,7 @@
 	{section: "budget", name: "window", fallback: "10s", need: "", set: func(s *Settings, v string) (err error) { s.Budget.Window, err = checkBudgetWindow(v); return err }},
 	{section: "memory", name: "growth", fallback: "800", need: "", set: func(s *Settings, v string) (err error) { s.Memory.Growth, err = checkMemoryGrowth(v); return err }},
 	{section: "memory", name: "limit", fallback: "200MiB", need: "", set: func(s *Settings, v string) (err error) { s.Memory.Limit, err = checkMemoryLimit(v); return err }},
+	{section: "stop", name: "limit", fallback: "0s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Limit, err = checkStopLimit(v); return err }},
 	{section: "stop", name: "notice", fallback: "1s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Notice, err = checkStopNotice(v); return err }},
 	{section: "stop", name: "grace", fallback: "60s", need: "", set: func(s *Settings, v string) (err error) { s.Stop.Grace, err = checkStopGrace(v); return err }},
 	{section: "log", name: "level", fallback: "info", need: "", set: func(s *Settings, v string) (err error) { s.Log.Level, err = checkLogLevel(v); return err }},
@@ -237,6 +239,10 @@
 
 func checkMemoryLimit(v string) (int, error) { return parseBytes(v, "16MiB", "1023MiB") }
 
+func checkStopLimit(v string) (time.Duration, error) {
+	return parseDuration(v, 0*time.Second, 600*time.Second)
+}
+
 func checkStopNotice(v string) (time.Duration, error) {
 	return parseDuration(v, 0*time.Second, 30*time.Second)
 }
@@ -352,6 +358,8 @@
 	"\n" +
 	"# Graceful shutdown.\n" +
 	"[stop]\n" +
+	"# Time after the signal at which the platform kills the process. The calls in progress then have until half a second before it, in place of stop.grace. Zero means that it is not known. (0s to 10m)\n" +
+	"#limit = 0s\n" +
 	"# Time between the notice to the fleet and the end of accepting calls. (0s to 30s)\n" +
 	"#notice = 1s\n" +
 	"# Longest time that calls in progress may take to complete. (1s to 600s)\n" +
@@ -469,6 +477,7 @@
 	"\n" +
 	"| key | type | range | default | required | meaning |\n" +
 	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `limit` | duration | 0s to 10m | `0s` | no | Time after the signal at which the platform kills the process. The calls in progress then have until half a second before it, in place of stop.grace. Zero means that it is not known. |\n" +
 	"| `notice` | duration | 0s to 30s | `1s` | no | Time between the notice to the fleet and the end of accepting calls. |\n" +
 	"| `grace` | duration | 1s to 600s | `60s` | no | Longest time that calls in progress may take to complete. |\n" +
 	"\n" +
