--- a/thhttp/connection.go
+++ b/thhttp/connection.go
@@ -25,7 +25,6 @@
 	// firstTime is how long a stopping server waits for the first request of a
 	// connection that it has accepted.
 	firstTime = time.Second
-	preface   = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" // of an HTTP/2 connection
 )
 
 // past interrupts a read.
@@ -243,38 +242,6 @@
 	return c.newResponse(request, f), nil
 }
 
-// handOn gives a connection that speaks HTTP/2 away.
-func (c *connection) handOn() bool {
-	start, err := c.reader.Peek(len(preface))
-	if err != nil || string(start) != preface || c.hasQueue() {
-		return false
-	}
-	ahead, _ := c.reader.Peek(c.reader.Buffered())
-	rest := append(append([]byte(nil), ahead...), c.source.ahead...)
-	_ = c.conn.SetReadDeadline(time.Time{})
-	c.mutex.Lock()
-	c.hijacked = true
-	c.mutex.Unlock()
-	c.server.HTTP2(&handed{Conn: c.conn, ahead: rest})
-	return true
-}
-
-// handed is a connection of which some bytes have been read.
-type handed struct {
-	net.Conn
-	ahead []byte
-}
-
-// Read returns the bytes read before, then those of the connection.
-func (h *handed) Read(p []byte) (int, error) {
-	if len(h.ahead) > 0 {
-		n := copy(p, h.ahead)
-		h.ahead = h.ahead[n:]
-		return n, nil
-	}
-	return h.Conn.Read(p)
-}
-
 // take adds a request to those in progress; false when the connection closes
 // before it, so that it counts as not read.
 func (c *connection) take(r *response) bool {
--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -50,6 +50,7 @@
 	Rejected  string // set on an answer of a backend server that has not run the request
 	Load      string // on an answer: calls running, calls waiting and slots of the backend server
 	Stamp     string // on every good answer of a backend server
+	Child     string // between the id of a request and what a backend server adds to it for its own calls
 }
 
 // ownHeaders are the names of the product's own interface.
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -258,7 +258,7 @@
 		c.open.Header = append(without(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.Caller})
 	}
 	c.plain = len(c.open.Header)
-	c.parent = c.Runs.parent(c.id())
+	c.parent = c.Runs.parent(c.id(), names.Child)
 	c.open.Begun = c.parent.begun()
 	if err := c.takeKey(r.Header[names.Key]); err != nil {
 		return err
--- a/thproxy/runs.go
+++ b/thproxy/runs.go
@@ -7,10 +7,6 @@
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
-// childMark separates the id of a call from what a backend server adds to it for
-// the calls that it makes in turn.
-const childMark = "."
-
 // Runs knows the calls in progress at the backend server beside a daemon, so that
 // the calls that it makes for them can be told from new ones. The zero value
 // works; one Runs belongs to the Target and the Ingress of a daemon.
@@ -47,12 +43,12 @@
 	}
 }
 
-// parent returns the run that made a call, or nil.
-func (s *Runs) parent(id string) *run {
-	if s == nil {
+// parent returns the run that made a call, or nil. The mark is Headers.Child.
+func (s *Runs) parent(id, mark string) *run {
+	if s == nil || mark == "" {
 		return nil
 	}
-	end := strings.LastIndex(id, childMark)
+	end := strings.LastIndex(id, mark)
 	if end <= 0 {
 		return nil
 	}
--- a/thproxy/runs_test.go
+++ b/thproxy/runs_test.go
@@ -43,7 +43,7 @@
 		m := newMesh(t, thconfig.Route{}, http.HandlerFunc(echoHandler))
 		gate, budget := &keepGate{}, &countBudget{}
 		m.targets[0].Gate = gate
-		m.ingress.Headers = &Headers{Request: "X-Id"}
+		m.ingress.Headers = &Headers{Request: "X-Id", Child: "."}
 		m.ingress.Runs, m.ingress.Budget = &Runs{}, budget
 		end := m.ingress.Runs.begin("run", &thwire.Open{Again: again})
 		ids := []string{"run.1", "run.2", "run", "other.1", "running.1"}
@@ -77,12 +77,12 @@
 	one := r.begin("a", &thwire.Open{})
 	two := r.begin("a", &thwire.Open{Again: true}) // the same request once more
 	one()
-	assert.Assert(t, r.parent("a.1").repeated(), "the later run was taken out by the end of the earlier one")
+	assert.Assert(t, r.parent("a.1", ".").repeated(), "the later run was taken out by the end of the earlier one")
 	two()
 	assert.Equal(t, len(r.byID), 0)
 	var none *Runs
 	none.begin("a", &thwire.Open{})()
-	assert.Assert(t, !none.parent("a.1").begun())
+	assert.Assert(t, !none.parent("a.1", ".").begun())
 }
 
 // Pattern: a pool whose servers are all full. Guards against a call that asks the
