Keep retries after refusals apart from those of broken calls

The refusals had used up the route's budget. Ruled out: refusals free of any budget (TestRetryBudget guards against that). Change: one bucket for calls that were only refused, one for those that may have run. The test of this load fails with one bucket (502 in place of 202).

--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -157,8 +157,10 @@
 // the first to reach a backend server is free.
 func (c *call) afford(b *budget) bool {
 	switch {
+	case c.Budget == nil && c.reached == 0:
+		return b.refused.retry(c.route.Retry, c.Clock)
 	case c.Budget == nil:
-		return b.retry(c.route.Retry, c.Clock)
+		return b.broken.retry(c.route.Retry, c.Clock)
 	case c.reached == 0:
 		return true
 	}
--- a/thproxy/budget.go
+++ b/thproxy/budget.go
@@ -18,8 +18,18 @@
 // budgets holds the retry budgets by route. The zero value works.
 type budgets struct{ byRoute sync.Map }
 
-// budget is a token bucket filled by first attempts and by time.
-type budget struct {
+// budget holds the retries of a route. Refused calls, which cost no server work,
+// leave those of broken ones alone.
+type budget struct{ refused, broken bucket }
+
+// first counts a first attempt of a route whose Retry is the given percentage.
+func (b *budget) first(percent int) {
+	b.refused.first(percent)
+	b.broken.first(percent)
+}
+
+// bucket is a token bucket filled by first attempts and by time.
+type bucket struct {
 	mutex  sync.Mutex
 	earned float64 // by first attempts
 	timed  float64 // by time
@@ -30,19 +40,19 @@
 	if v, ok := b.byRoute.Load(route); ok {
 		return v.(*budget)
 	}
-	v, _ := b.byRoute.LoadOrStore(route, &budget{timed: retriesPerSecond})
+	v, _ := b.byRoute.LoadOrStore(route, &budget{refused: bucket{timed: retriesPerSecond}, broken: bucket{timed: retriesPerSecond}})
 	return v.(*budget)
 }
 
-// first counts a first attempt of a route whose Retry is the given percentage.
-func (b *budget) first(percent int) {
+// first fills the bucket by a part of a token.
+func (b *bucket) first(percent int) {
 	b.mutex.Lock()
 	b.earned = min(b.earned+float64(percent)/100, maxRetryBurst)
 	b.mutex.Unlock()
 }
 
 // retry takes a token; false means that the budget is spent.
-func (b *budget) retry(percent int, clock clockwork.Clock) bool {
+func (b *bucket) retry(percent int, clock clockwork.Clock) bool {
 	if percent == 0 {
 		return false
 	}
--- a/thproxy/retry_test.go
+++ b/thproxy/retry_test.go
@@ -449,3 +449,28 @@
 	assert.Equal(t, m.balancer.results[0].Kind, therror.Full)
 	assert.Equal(t, m.balancer.results[0].Retry, 300*time.Millisecond)
 }
+
+// Pattern: a server refuses all calls for a while, and then breaks with calls in
+// progress. Guards against refusals that use up the budget, so that safe calls are
+// answered as broken (14 streams of TestPairsOfFaults with seed 1).
+func TestRefusalsLeaveTheBudgetToBrokenCalls(t *testing.T) {
+	m := newMesh(t, thconfig.Route{Retry: 20}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}), http.HandlerFunc(echoHandler))
+	m.gates[0].refusal.Store(therror.New(therror.Full, "full").After(time.Second))
+	refused := 0
+	for range 300 {
+		a, _, err := do(t, m.client, "GET", m.front.URL, nil)
+		assert.NilError(t, err)
+		if a.StatusCode == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 0, "the budget of refusals is not used up")
+	m.gates[0].refusal.Store(nil)
+	for range 40 {
+		a, body, err := do(t, m.client, "GET", m.front.URL, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, a.StatusCode, http.StatusAccepted, body)
+	}
+}
