Keep the announcement of an earlier process over a restart

Change: a daemon that starts by itself reads the page from its own name on, and leaves its announcement alone while two thirds of its life are left.

--- a/thdaemon/announce.go
+++ b/thdaemon/announce.go
@@ -62,12 +62,13 @@
 func (a *announcer) run(ctx context.Context) {
 	var next time.Time
 	interval := firstFind
-	wake := a.clock.Now()
-	if !a.alone {
-		wake = wake.Add(rand.N(max(a.spread, 1)))
-	}
+	wake := a.clock.Now().Add(rand.N(max(a.spread, 1)))
 	// A read that was due for want of a neighbour is left out once there is one.
 	lonely, connected := true, false
+	if a.alone {
+		next = a.resume(ctx)
+		wake = a.clock.Now().Add(jitter(firstFind))
+	}
 	for {
 		if now := a.clock.Now(); !now.Before(next) && a.announce(ctx) {
 			next = now.Add(jitter(announceInterval))
@@ -75,7 +76,11 @@
 		if !a.clock.Now().Before(wake) {
 			neighbours := len(a.node.Neighbours())
 			if neighbours == 0 || (!lonely && (neighbours < enoughNeighbours || a.duty == nil || a.duty())) {
-				a.find(ctx)
+				from := ""
+				if rand.IntN(2) > 0 {
+					from = a.node.Self().Name
+				}
+				a.find(ctx, from)
 			}
 			lonely = neighbours == 0
 			interval = nextFind(interval, neighbours)
@@ -119,6 +124,18 @@
 	return findInterval
 }
 
+// resume looks for the others from the own name on. It returns until when the
+// announcement of an earlier process of this daemon serves for this one.
+func (a *announcer) resume(ctx context.Context) time.Time {
+	self := a.node.Self()
+	for _, f := range a.find(ctx, self.Name) {
+		if f.Name == self.Name && f.Peer == self.Peer && f.Zone == self.Zone {
+			return f.Expiry.Add(announceInterval - announceLife)
+		}
+	}
+	return time.Time{}
+}
+
 func (a *announcer) announce(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
@@ -133,19 +150,16 @@
 	return err == nil
 }
 
-// find reads a page from the own name on, so that a herd spreads over the rows
-// and a page is mostly full, or the first one, which joins all groups.
-func (a *announcer) find(ctx context.Context) {
+// find reads a page and joins the daemons in it: from the own name on, so that a
+// herd spreads over the rows and a page is mostly full, or the first one, which
+// joins all groups.
+func (a *announcer) find(ctx context.Context, from string) []thstore.Announcement {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	from := ""
-	if rand.IntN(2) > 0 {
-		from = a.node.Self().Name
-	}
 	found, err := a.store.Announcements(ctx, from, announcePage)
 	if err != nil {
 		a.log.Debug("announcements not read", "error", err)
-		return
+		return nil
 	}
 	view := a.node.View()
 	var addresses []netip.AddrPort
@@ -155,6 +169,7 @@
 		}
 	}
 	a.node.Join(addresses...)
+	return found
 }
 
 func (a *announcer) withdraw(ctx context.Context) {
--- a/thdaemon/announce_test.go
+++ b/thdaemon/announce_test.go
@@ -80,3 +80,48 @@
 		<-a.done
 	}
 }
+
+// Pattern: a daemon is killed and started again while its announcement is still
+// valid, as all are after a loss of power. Guards against store calls of a start
+// that bring nothing, and against a daemon that relies on the announcement of
+// another address or on one that ends soon.
+func TestRestartKeepsItsAnnouncement(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		age    time.Duration
+		peer   string
+		writes int
+	}{
+		{"valid", 10 * time.Second, "127.0.0.1:7000", 0},
+		{"moved", 10 * time.Second, "127.0.0.1:7001", 1},
+		{"old", announceInterval + time.Second, "127.0.0.1:7000", 1},
+		{"none", 0, "", 1},
+	} {
+		clock := clockwork.NewFakeClock()
+		table := &thmemory.Table{}
+		store := &thstore.Store{Table: table, Clock: clock}
+		for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			peer := netip.MustParseAddrPort("127.0.0.1:9")
+			if name == "a" {
+				if c.peer == "" {
+					continue
+				}
+				peer = netip.MustParseAddrPort(c.peer)
+			}
+			assert.NilError(t, store.Announce(t.Context(), thstore.Announcement{Name: name, Peer: peer}, announceLife))
+		}
+		clock.Advance(c.age)
+		written, read := table.Counts().Writes, table.Counts().Reads
+		n := &thmember.Node{Member: thwire.Member{Name: "a", Peer: netip.MustParseAddrPort("127.0.0.1:7000")}}
+		assert.NilError(t, n.Start(context.Background()))
+		a := &announcer{alone: true, store: store, node: n, clock: clock, log: hclog.NewNullLogger(), lost: make(chan struct{}, 1)}
+		ctx, cancel := context.WithCancel(t.Context())
+		a.start(ctx)
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		assert.Equal(t, int(table.Counts().Writes-written), c.writes, c.name)
+		assert.Assert(t, table.Counts().Reads-read <= 2, "%s: %d reads", c.name, table.Counts().Reads-read)
+		cancel()
+		<-a.done
+		n.Stop()
+	}
+}
--- a/thstore/announce.go
+++ b/thstore/announce.go
@@ -33,6 +33,8 @@
 	// Version is zero without one; Digest is the first 8 bytes of its digest.
 	Version uint64 `json:"version,omitempty"`
 	Digest  uint64 `json:"digest,omitempty"`
+	// Expiry is when a read announcement expires.
+	Expiry time.Time `json:"-"`
 }
 
 // Fleet is the highest version that announcements name, zero without one, and
@@ -112,6 +114,7 @@
 			s.log().Warn("corrupt announcement ignored", "name", i.Key.Sort, "error", err)
 			continue
 		}
+		a.Expiry = i.Expiry
 		list = append(list, a)
 	}
 	return list, nil
