Set a guard of the platform up before its counters are read

Change: Stats sets the guard up like a call. The test of this pattern reports the race without it (go test -race), and none with it.

--- a/thplatform/guard.go
+++ b/thplatform/guard.go
@@ -85,10 +85,11 @@
 
 // Stats returns the counters and the state of the breaker.
 func (g *Guard) Stats() Stats {
+	g.start()
 	return Stats{
 		Reads: g.counts.reads.Load(), Writes: g.counts.writes.Load(),
 		Failures: g.counts.failures.Load(), Limited: g.counts.limited.Load(),
-		Breaker: g.breaker.current(thclock.Or(g.Clock).Now()),
+		Breaker: g.breaker.current(g.Clock.Now()),
 	}
 }
 
--- a/thplatform/guard_test.go
+++ b/thplatform/guard_test.go
@@ -161,3 +161,18 @@
 	assert.Equal(t, table.Counts().Writes, uint64(8))
 	assert.NilError(t, g.Write(t.Context(), thplatform.Op{Item: thplatform.Item{Key: claimKey}}))
 }
+
+// Pattern: an operator asks for the status of a daemon that makes its first call to
+// the platform. Guards against a guard that is read while it sets itself up.
+func TestStatsBesideTheFirstCall(t *testing.T) {
+	for range 100 {
+		g := &thplatform.GuardedTable{Table: &thmemory.Table{}}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := g.Get(t.Context(), headKey)
+			ended <- err
+		}()
+		assert.Equal(t, g.Stats().Breaker, thplatform.BreakerClosed)
+		assert.NilError(t, <-ended)
+	}
+}
