Log the limit that a backend server states, and reproduce that it is exceeded

The logs had no line about Server-Limit, so whether an instance's limit was known to anybody could not be told. The target now decodes the statement of each response (malformed ones are kept apart, and those of a 421 ignored), and the daemon logs when it starts, changes or ends.

--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -49,6 +49,7 @@
 	}
 	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler}
 	registry.Watch(local.update)
+	d.target.OnReport = local.handleReport
 	d.replica.Watch(func(*thsync.Snapshot) {
 		if e := registry.Current(); e != nil {
 			local.update(e)
@@ -114,8 +115,9 @@
 
 	registry  *thserver.Registry
 	scheduler *thadmit.Scheduler
-	mutex     sync.Mutex // guards instance and serialises changes
+	mutex     sync.Mutex // guards the fields below and serialises changes
 	instance  string
+	limitLog  limitLog
 }
 
 // coldRateFraction is the fraction of the additional rate allowed to a cold backend
--- /dev/null
+++ b/thproof/limit_test.go
@@ -0,0 +1,92 @@
+package thproof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Bounds of the platform for the limit that a backend server states.
+const (
+	limitNotice = 3 * time.Second // from the first statement until the limit binds
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5 // requests
+)
+
+// allowedByLimit returns the requests that a server with a limit may get in limitWindow.
+func allowedByLimit(limit float64) int {
+	return int(limitFactor*limit*limitWindow.Seconds()) + limitSlack
+}
+
+// mostWithin returns the largest number of arrivals from since on within a window, and
+// their total.
+func mostWithin(arrivals []time.Time, since time.Time, window time.Duration) (most, total int) {
+	first := 0
+	for i, a := range arrivals {
+		if a.Before(since) {
+			first = i + 1
+			continue
+		}
+		total++
+		for a.Sub(arrivals[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most, total
+}
+
+// randomTraffic sends calls to random nodes, with exponential gaps, until ctx ends.
+type randomTraffic struct {
+	good, all atomic.Int64
+	clients   sync.WaitGroup
+}
+
+func (r *randomTraffic) start(ctx context.Context, h *hostedFleet, rate float64) {
+	r.clients.Go(func() {
+		random := rand.New(rand.NewPCG(uint64(*seed), 1))
+		for i := 0; ctx.Err() == nil; i++ {
+			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+			n := h.nodes[random.IntN(len(h.nodes))]
+			r.clients.Go(func() {
+				status, _, err := n.call("GET", "/view/x", fmt.Sprintf("random-%d", i), "")
+				r.all.Add(1)
+				if err == nil && status == http.StatusOK {
+					r.good.Add(1)
+				}
+			})
+		}
+	})
+}
+
+// Guards against a backend server that gets more requests than the limit that it states
+// in its responses, while other servers of its service have room.
+func TestStatedLimitIsKept(t *testing.T) {
+	const limit = 7
+	h := newHostedFleet(t, 3)
+	h.configure(1)
+	h.waitServing()
+	limited := h.nodes[0].instance
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var traffic randomTraffic
+	traffic.start(ctx, h, 90)
+	limited.SetLimit(fmt.Sprint(limit))
+	binding := time.Now().Add(limitNotice)
+	time.Sleep(limitNotice + limitWindow + time.Second)
+	cancel()
+	traffic.clients.Wait()
+	most, total := mostWithin(limited.Arrivals(), binding, limitWindow)
+	t.Logf("%d requests in %s, %d in all, %d of %d calls good", most, limitWindow, total, traffic.good.Load(), traffic.all.Load())
+	assert.Assert(t, most <= allowedByLimit(limit), "%d requests in %s, %d allowed", most, limitWindow, allowedByLimit(limit))
+	assert.Assert(t, total > 0, "the server with a limit gets no calls")
+	assert.Equal(t, traffic.good.Load(), traffic.all.Load())
+}
--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -50,6 +50,8 @@
 	Rejected       string // on responses of a backend server that has not run the request
 	Load           string // on responses: running calls, waiting calls and slots of the backend server
 	Stamp          string // on every successful response of a backend server
+	Limit          string // on responses: calls per second that the backend server accepts, for as long as its responses state a number
+	Leaving        string // on responses of a backend server that is leaving: "1"
 	ChildSeparator string // not a header: between a request ID and the suffix that a backend server adds for its nested calls
 }
 
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -67,10 +67,13 @@
 	// OnLoadReport receives the load that the backend server reports in a response
 	// header; it may be nil.
 	OnLoadReport func(running, waiting, slots int)
-	Headers      *Headers     // nil means the default names
-	ActiveCalls  *ActiveCalls // shared with the Ingress; nil tracks no calls
-	Clock        clockwork.Clock
-	Log          hclog.Logger
+	// OnReport receives what the backend server states about itself in each response;
+	// it may be nil.
+	OnReport    func(ServerReport)
+	Headers     *Headers     // nil means the default names
+	ActiveCalls *ActiveCalls // shared with the Ingress; nil tracks no calls
+	Clock       clockwork.Clock
+	Log         hclog.Logger
 }
 
 // CallObserver receives the progress of a dispatched call as evidence about the version
@@ -157,7 +160,7 @@
 			return err
 		}
 	}
-	trailer, err := t.dispatch(c, r, pass, ticket)
+	trailer, err := t.dispatch(c, r, server, pass, ticket)
 	if err != nil {
 		return err
 	}
@@ -182,7 +185,7 @@
 // dispatch sends the request to the backend server and relays the response except
 // for its End. It frees the pass first, so that the load in End does not count this
 // call.
-func (t *Target) dispatch(c Call, r *http.Request, pass Pass, ticket *thonce.Ticket) (trailer []thwire.Header, err error) {
+func (t *Target) dispatch(c Call, r *http.Request, server thwire.Server, pass Pass, ticket *thonce.Ticket) (trailer []thwire.Header, err error) {
 	var observer CallObserver
 	status, latency := 0, time.Duration(0) // until the response header
 	if o := c.Open(); t.OnDispatch != nil {
@@ -221,6 +224,7 @@
 	if observer != nil {
 		observer.Responded()
 	}
+	t.report(response, server, start)
 	if err := t.checkResponse(response); err != nil {
 		if therror.IsNotRun(err) {
 			releaseKey(c, ticket)
--- a/thstandin/instance.go
+++ b/thstandin/instance.go
@@ -29,7 +29,10 @@
 
 	mutex    sync.Mutex
 	sequence int
+	limit    string // value of header Server-Limit; no header when empty
+	leaving  bool   // responses have header Server-Leaving
 	runs     []ExecutedRequest
+	arrivals []time.Time // when the runs began
 	active   int
 	peak     int // maximum of active
 }
@@ -52,6 +55,7 @@
 		RequestID: r.Header.Get("X-Request-Id"), Caller: r.Header.Get("X-Caller-Service"),
 		Method: r.Method, Target: r.RequestURI, Body: string(body),
 	})
+	i.arrivals = append(i.arrivals, time.Now())
 	i.active++
 	i.peak = max(i.peak, i.active)
 	w.Header().Set("X-Server-Load", strconv.Itoa(i.active)+",0,"+strconv.Itoa(i.Slots))
@@ -59,6 +63,12 @@
 	time.Sleep(i.ProcessingTime)
 	i.mutex.Lock()
 	i.active--
+	if i.limit != "" {
+		w.Header().Set("Server-Limit", i.limit)
+	}
+	if i.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	i.mutex.Unlock()
 	w.Header().Set("X-Server-Stamp", i.ID)
 	_, _ = fmt.Fprintf(w, "%s %s", i.Service, i.ID) // the client may have closed the connection
@@ -71,6 +81,28 @@
 	return append([]ExecutedRequest(nil), i.runs...)
 }
 
+// Arrivals returns when each of the requests that were run has arrived.
+func (i *Instance) Arrivals() []time.Time {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return append([]time.Time(nil), i.arrivals...)
+}
+
+// SetLimit makes responses state a limit of requests per second. The text is sent as it
+// is; an empty one ends the statement.
+func (i *Instance) SetLimit(text string) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.limit = text
+}
+
+// SetLeaving makes responses state that the instance is leaving. Heartbeats are unaffected.
+func (i *Instance) SetLeaving(leaving bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.leaving = leaving
+}
+
 // PeakConcurrency returns the maximum of concurrently run requests.
 func (i *Instance) PeakConcurrency() int {
 	i.mutex.Lock()
