Keep the limit that a backend server states in its responses

Cause: nothing applied the limit. The admission control knew two limits, the slots and the rate of a cold server, both told by heartbeats and configuration; what a server says of itself in its responses was not among its inputs.

Change: the Scheduler beside the server, which every call of the fleet passes, paces calls at the lower of the cold rate and the stated limit, with the pacer that cold servers had already. A lower limit applies at once, a higher one or none only with the response to a call sent after the lower one was known, since responses cross. A limit below 0.5 a second is kept as 0.5: only a response can end it. The advertised concurrency follows the limit (Little's law), so the ingresses choose other servers and few calls are turned away.

Ruled out: shares of the limit at each ingress, which need agreement on the number of callers and are exact only on average.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -23,8 +23,8 @@
 	// mean service time. It would be 1 if service times didn't vary.
 	residualTimeFactor = 1.5
 	rateWindow         = time.Second // window in which dispatches to a cold server are counted
-	// pacingBurst is the time by which a cold server's calls may be dispatched ahead
-	// of the even pace. With a larger burst, calls delayed by slow connection setup
+	// pacingBurst is the time by which calls may be dispatched ahead of the even pace
+	// of a cold server or of one that states a limit. With a larger burst, calls delayed by slow connection setup
 	// would arrive together with later calls and exceed the server's rate.
 	pacingBurst = 125 * time.Millisecond
 	// deadlineFraction is the maximum fraction of the remaining time for waiting and
@@ -65,8 +65,9 @@
 	leaving          bool         // the server is draining
 	coldUntil        time.Time
 	coldRate         float64                  // admitted calls per second while the server is cold
+	stated           statedLimit              // limit that the server states in its responses
 	recentDispatches []time.Time              // latest dispatches, oldest first, at most windowLimit
-	nextPaced        time.Time                // time of the next dispatch to the cold server at an even pace
+	nextPaced        time.Time                // time of the next dispatch at an even pace
 	queue            []*queuedCall            // see queuedCall.compare for the order
 	serviceTimes     map[string]time.Duration // moving average by route
 	averageTime      time.Duration            // moving average of all calls; zero before the first
@@ -249,13 +250,14 @@
 		work += s.serviceTime(t.route)
 	}
 	free := s.slots - s.active
-	if position < free && !s.isCold(now) {
+	rate, paced := s.paceRate(now)
+	if position < free && !paced {
 		return 0
 	}
 	slots := time.Duration(s.slots)
 	wait := work/slots + min(time.Duration(residualTimeFactor*float64(s.meanServiceTime()))/slots, s.meanServiceTime()/2)
-	if s.isCold(now) && s.coldRate > 0 {
-		wait = max(wait, time.Duration(float64(position+1)/s.coldRate*float64(time.Second)))
+	if rate > 0 {
+		wait = max(wait, time.Duration(float64(position+1)/rate*float64(time.Second)))
 	}
 	return wait
 }
@@ -296,14 +298,17 @@
 	return s.active < s.slots && s.pacingDelay(now) <= 0
 }
 
-// pacingDelay returns the time until the next call may be dispatched to a cold
-// server; it is zero for a warm server.
+// pacingDelay returns the time until the next call may be dispatched to a cold server
+// or to one that states a limit; it is zero for other servers.
 func (s *Scheduler) pacingDelay(now time.Time) time.Duration {
-	if !s.isCold(now) || s.coldRate <= 0 {
+	if rate, _ := s.paceRate(now); rate == 0 {
 		return 0
 	}
-	s.recentDispatches = slices.DeleteFunc(s.recentDispatches, func(t time.Time) bool { return now.Sub(t) >= rateWindow })
 	delay := latest(s.nextPaced, now).Sub(now) - pacingBurst
+	if !s.isCold(now) || s.coldRate <= 0 {
+		return max(delay, 0)
+	}
+	s.recentDispatches = slices.DeleteFunc(s.recentDispatches, func(t time.Time) bool { return now.Sub(t) >= rateWindow })
 	if len(s.recentDispatches) >= s.windowLimit() {
 		delay = max(delay, rateWindow-now.Sub(s.recentDispatches[0]))
 	}
@@ -318,8 +323,8 @@
 // recorded too, since its cold state may be reported only later.
 func (s *Scheduler) admit(now time.Time) {
 	s.active++
-	if s.isCold(now) && s.coldRate > 0 {
-		s.nextPaced = latest(s.nextPaced, now).Add(time.Duration(float64(rateWindow) / s.coldRate))
+	if rate, _ := s.paceRate(now); rate > 0 {
+		s.nextPaced = latest(s.nextPaced, now).Add(time.Duration(float64(time.Second) / rate))
 	}
 	if s.coldRate > 0 {
 		limit := s.windowLimit()
@@ -351,6 +356,13 @@
 	return b
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // wake is called by wakeTimer.
 func (s *Scheduler) wake() {
 	s.mutex.Lock()
@@ -401,12 +413,12 @@
 	s.admitQueued(thclock.OrSystem(s.Clock).Now())
 }
 
-// ResetPacing clears the recorded dispatches. Call it when another instance of the
-// backend server has started.
+// ResetPacing clears the recorded dispatches and the stated limit. Call it when another
+// instance of the backend server has started.
 func (s *Scheduler) ResetPacing() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.recentDispatches, s.nextPaced = nil, time.Time{}
+	s.recentDispatches, s.nextPaced, s.stated = nil, time.Time{}, statedLimit{}
 }
 
 // SetClosed rejects all calls, queued calls included, with an error of kind
@@ -438,7 +450,7 @@
 	defer s.mutex.Unlock()
 	now := thclock.OrSystem(s.Clock).Now()
 	return thwire.Load{
-		Limit: s.slots, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
+		Limit: s.concurrency(), Limited: s.stated.active, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
 		Wait: int64(s.estimateWait(len(s.queue), now)), Time: int64(s.serviceTimes[route]),
 	}
 }
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -58,10 +58,11 @@
 type state struct {
 	incarnation   uint64       // of the member
 	inflight      atomic.Int64 // calls of this daemon in progress
-	limit         atomic.Int64 // limit, active, queued and cold are the last advertised load
+	limit         atomic.Int64 // limit, active, queued, cold and limited are the last advertised load
 	active        atomic.Int64
 	queued        atomic.Int64
 	cold          atomic.Bool
+	limited       atomic.Bool  // the server states a limit of calls per second
 	loadTime      atomic.Int64 // time of the advertised load
 	avoidedUntil  atomic.Int64
 	ejectedUntil  atomic.Int64
@@ -109,6 +110,7 @@
 		s.active.Store(int64(r.Load.Active))
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
+		s.limited.Store(r.Load.Limited)
 		s.loadTime.Store(now.UnixNano())
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
@@ -235,8 +237,9 @@
 	s.errors.Store(minConsecutiveErrors - 1)
 }
 
-// class returns the class of the candidate. A starting or cold server at its limit is
-// avoided, so that it gets no calls above the limit while another server is usable.
+// class returns the class of the candidate. A starting, cold or limited server at its
+// limit is avoided, so that it gets no calls above the limit while another server is
+// usable.
 func (s *Server) class(exclude []string, now time.Time) int {
 	if len(exclude) > 0 && slices.Contains(exclude, s.Member.Name) {
 		return classExcluded
@@ -247,7 +250,7 @@
 		return classEjected
 	case s.avoidedUntil.Load() > at:
 		return classAvoided
-	case s.isCold() && s.inUse(at) >= s.capacity():
+	case (s.isCold() || s.limited.Load()) && s.inUse(at) >= s.capacity():
 		return classAvoided
 	}
 	return classUsable
@@ -336,7 +339,7 @@
 		InFlight: int(s.inflight.Load()), Weight: s.weight(now),
 		Load: thwire.Load{
 			Limit: int(s.limit.Load()), Active: int(s.active.Load()),
-			Queued: int(s.queued.Load()), Cold: s.cold.Load(),
+			Queued: int(s.queued.Load()), Cold: s.cold.Load(), Limited: s.limited.Load(),
 		},
 		Ejected: max(0, time.Duration(s.ejectedUntil.Load()-now.UnixNano())),
 		Avoided: max(0, time.Duration(s.avoidedUntil.Load()-now.UnixNano())),
--- a/thdaemon/report.go
+++ b/thdaemon/report.go
@@ -26,6 +26,9 @@
 		return
 	}
 	l.logLimit(r)
+	if r.LimitErr == nil {
+		l.scheduler.ObserveLimit(r.Sent, r.Limit, r.HasLimit)
+	}
 }
 
 // logLimit logs a limit that has started, changed or ended, and malformed ones.
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -262,6 +262,9 @@
 	Active int  `msg:"a"` // calls in progress
 	Queued int  `msg:"q"` // calls in the queue
 	Cold   bool `msg:"c"` // the backend server is starting up or has become cold
+	// Limited means that the backend server states a limit of calls per second, from
+	// which Limit is derived.
+	Limited bool `msg:"r,omitempty"`
 	// Wait is the estimated queueing delay of a further call of the lowest priority.
 	Wait int64 `msg:"w"` // ns
 	// Time is the time that the backend server takes for a call of the same route;
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1285,25 +1285,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "l"
-	o = append(o, 0x86, 0xa1, 0x6c)
-	o = msgp.AppendInt(o, z.Limit)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendInt(o, z.Active)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.Queued)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendBool(o, z.Cold)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.Wait)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Time)
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Limited == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendInt(o, z.Limit)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendInt(o, z.Active)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendInt(o, z.Queued)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBool(o, z.Cold)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendBool(o, z.Limited)
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Wait)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt64(o, z.Time)
+	}
 	return
 }
 
@@ -1353,6 +1371,12 @@
 				err = msgp.WrapError(err, "Cold")
 				return
 			}
+		case "r":
+			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Limited")
+				return
+			}
 		case "w":
 			z.Wait, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1379,7 +1403,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
