Treat a server as leaving when its responses state it

Cause: only heartbeats told that a server leaves. A server that says so in its responses first, or whose draining heartbeat is late, went on getting calls.

Change: a response that states it marks the instance in the registry, as a heartbeat does: the gate beside the server refuses at once, the member record is flooded, and the departure is stored in the background, again with each heartbeat until the store has it. A process that starts again under the same id also starts with no stated limit.

--- /dev/null
+++ b/thdaemon/departure.go
@@ -0,0 +1,87 @@
+package thdaemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/turmerichaven/turmerichaven/thserver"
+)
+
+// Timeouts of the store calls that delay the response to a heartbeat. The sender of
+// a heartbeat times out after one second.
+const (
+	departureReadTimeout  = 300 * time.Millisecond
+	departureWriteTimeout = 700 * time.Millisecond
+)
+
+// departureRecorder handles the heartbeats of the local backend server and stores its
+// departure, so that it binds this daemon also after a restart.
+type departureRecorder struct {
+	*Daemon
+
+	registry *thserver.Registry
+	mutex    sync.Mutex // guards recorded, and serialises the calls of the store
+	recorded string     // instance whose departure is stored
+}
+
+// handleHeartbeat handles a heartbeat. It stores the departure of an instance before
+// it acknowledges it. Before the first heartbeat after a start it reads a stored
+// departure, because a heartbeat that was sent before the departure may still arrive.
+// A store that fails or exceeds its timeout is only logged: the heartbeat is handled
+// nevertheless, and the departure is stored with the next one.
+func (d *departureRecorder) handleHeartbeat(b thserver.Heartbeat) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.registry.Current() == nil && d.Settings.Daemon.Bootstrap != "true" && !b.Deregistered && !b.Leaving {
+		d.lookUp(b.Instance)
+	}
+	if err := d.registry.HandleHeartbeat(b); err != nil {
+		return err
+	}
+	if e := d.registry.Current(); e != nil && e.Instance == b.Instance {
+		d.store(e)
+	}
+	return nil
+}
+
+// markLeaving handles a response in which an instance states that it is leaving. The
+// departure is stored in the background, so that the response is not delayed.
+func (d *departureRecorder) markLeaving(instance string, start time.Time) {
+	d.registry.MarkLeaving(instance, start)
+	go func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		if e := d.registry.Current(); e != nil && e.Instance == instance {
+			d.store(e)
+		}
+	}()
+}
+
+// store stores the departure of an instance that is leaving, unless it is stored
+// already; the mutex is held.
+func (d *departureRecorder) store(e *thserver.Entry) {
+	if !e.Leaving && !e.Deregistered || d.recorded == e.Instance {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
+	defer cancel()
+	if err := d.platform.RecordDeparture(ctx, e.Instance, e.StartTime); err != nil {
+		d.Log.Warn("failed to record the departure of an instance", "instance", e.Instance, "error", err)
+		return
+	}
+	d.recorded = e.Instance
+}
+
+// lookUp marks an instance as left if its departure is stored.
+func (d *departureRecorder) lookUp(instance string) {
+	ctx, cancel := context.WithTimeout(context.Background(), departureReadTimeout)
+	defer cancel()
+	startTime, found, err := d.platform.Departure(ctx, instance)
+	if err != nil {
+		d.Log.Warn("failed to look up an earlier departure of an instance", "instance", instance, "error", err)
+	}
+	if found {
+		d.registry.MarkLeft(instance, startTime)
+	}
+}
--- a/thdaemon/departure_test.go
+++ b/thdaemon/departure_test.go
@@ -40,7 +40,7 @@
 		d := &Daemon{platform: &platform{Store: &thstore.Store{Table: table, Clock: clock}}}
 		d.Log = hclog.NewNullLogger()
 		registry := &thserver.Registry{Address: address, Clock: clock}
-		return registry, d.heartbeatHandler(registry)
+		return registry, (&departureRecorder{Daemon: d, registry: registry}).handleHeartbeat
 	}
 	heartbeat := thserver.Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, Sequence: 1, StartTime: clock.Now()}
 	leaving := heartbeat
--- a/thdaemon/report.go
+++ b/thdaemon/report.go
@@ -20,15 +20,28 @@
 // handleReport evaluates what the backend server states in a response. Reports of an
 // instance that is no longer the current one are ignored.
 func (l *localServer) handleReport(r thproxy.ServerReport) {
+	if !l.applyLimit(r) || !r.Leaving {
+		return
+	}
+	// Not under the mutex, since the registry calls update.
+	if e := l.registry.Current(); e != nil && e.Instance == r.Server.Instance && !e.Leaving {
+		l.departures.markLeaving(e.Instance, e.StartTime)
+	}
+}
+
+// applyLimit applies the limit that a response states, or its absence. It returns
+// false for a report of an instance that is no longer the current one.
+func (l *localServer) applyLimit(r thproxy.ServerReport) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if r.Server.Instance != l.instance {
-		return
+	if r.Server.Instance != l.instance || !l.startTime.IsZero() && r.Server.Born != l.startTime.UnixMilli() {
+		return false
 	}
 	l.logLimit(r)
 	if r.LimitErr == nil {
 		l.scheduler.ObserveLimit(r.Sent, r.Limit, r.HasLimit)
 	}
+	return true
 }
 
 // logLimit logs a limit that has started, changed or ended, and malformed ones.
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -29,8 +29,9 @@
 		Service: s.Server.Service, Address: s.Server.Address, Clock: d.Clock, Log: d.Log.Named("server"),
 	}
 	scheduler := &thadmit.Scheduler{Clock: d.Clock}
+	departures := &departureRecorder{Daemon: d, registry: registry}
 	d.replica, d.gate, d.serverMonitor = follower, schedulerGate{scheduler}, noopMonitor{}
-	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(d.heartbeatHandler(registry)), rowplatform.ReadinessHandler(d.notReadyReasons)
+	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat), rowplatform.ReadinessHandler(d.notReadyReasons)
 	d.mover.EndCommitter = rolloutReporter{d.platform.rows}
 	d.target.Headers, d.transport.Headers = rowplatform.Headers(), rowplatform.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
@@ -47,7 +48,7 @@
 		Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window, Clock: d.Clock,
 		Daemons: func() int { return len(d.node.View().Alive()) },
 	}
-	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler}
+	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler, departures: departures}
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
 	d.replica.Watch(func(*thsync.Snapshot) {
@@ -57,67 +58,18 @@
 	})
 }
 
-// Timeouts of the store calls that delay the response to a heartbeat. The sender of
-// a heartbeat times out after one second.
-const (
-	departureReadTimeout  = 300 * time.Millisecond
-	departureWriteTimeout = 700 * time.Millisecond
-)
-
-// heartbeatHandler returns the function that handles heartbeats. It stores the
-// departure of an instance before it acknowledges it. Before the first heartbeat
-// after a start it reads a stored departure, because a heartbeat that was sent
-// before the departure may still arrive. A store that fails or exceeds its timeout is
-// only logged: the heartbeat is handled nevertheless, and the departure is stored with the
-// next one.
-func (d *Daemon) heartbeatHandler(registry *thserver.Registry) func(thserver.Heartbeat) error {
-	var mutex sync.Mutex // guards recorded, and serialises the look-ups
-	recorded := ""
-	return func(b thserver.Heartbeat) error {
-		mutex.Lock()
-		defer mutex.Unlock()
-		if registry.Current() == nil && d.Settings.Daemon.Bootstrap != "true" && !b.Deregistered && !b.Leaving {
-			d.lookUpDeparture(registry, b.Instance)
-		}
-		if err := registry.HandleHeartbeat(b); err != nil {
-			return err
-		}
-		if e := registry.Current(); e != nil && e.Instance == b.Instance && (e.Leaving || e.Deregistered) && recorded != b.Instance {
-			ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
-			defer cancel()
-			if err := d.platform.RecordDeparture(ctx, e.Instance, e.StartTime); err != nil {
-				d.Log.Warn("failed to record the departure of an instance", "instance", e.Instance, "error", err)
-				return nil
-			}
-			recorded = b.Instance
-		}
-		return nil
-	}
-}
-
-// lookUpDeparture marks an instance as left if its departure is stored.
-func (d *Daemon) lookUpDeparture(registry *thserver.Registry, instance string) {
-	ctx, cancel := context.WithTimeout(context.Background(), departureReadTimeout)
-	defer cancel()
-	startTime, found, err := d.platform.Departure(ctx, instance)
-	if err != nil {
-		d.Log.Warn("failed to look up an earlier departure of an instance", "instance", instance, "error", err)
-	}
-	if found {
-		registry.MarkLeft(instance, startTime)
-	}
-}
-
 // localServer passes changes of the local backend server to the scheduler and the
 // membership.
 type localServer struct {
 	*Daemon
 
-	registry  *thserver.Registry
-	scheduler *thadmit.Scheduler
-	mutex     sync.Mutex // guards the fields below and serialises changes
-	instance  string
-	limitLog  limitLog
+	registry   *thserver.Registry
+	scheduler  *thadmit.Scheduler
+	departures *departureRecorder
+	mutex      sync.Mutex // guards the fields below and serialises changes
+	instance   string
+	startTime  time.Time // of the instance
+	limitLog   limitLog
 }
 
 // coldRateFraction is the fraction of the additional rate allowed to a cold backend
@@ -130,8 +82,8 @@
 func (l *localServer) update(e *thserver.Entry) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if e.Instance != l.instance {
-		l.instance = e.Instance
+	if e.Instance != l.instance || !e.StartTime.Equal(l.startTime) {
+		l.instance, l.startTime = e.Instance, e.StartTime
 		l.scheduler.ResetPacing()
 	}
 	rate := 0.0
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thstandin"
 )
 
 // Bounds of the platform for the limit that a backend server states.
@@ -52,7 +54,7 @@
 
 func (r *randomTraffic) start(ctx context.Context, h *hostedFleet, rate float64) {
 	r.clients.Go(func() {
-		random := rand.New(rand.NewPCG(uint64(*seed), 1))
+		random := rand.New(rand.NewPCG(*seed, 1))
 		for i := 0; ctx.Err() == nil; i++ {
 			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 			n := h.nodes[random.IntN(len(h.nodes))]
@@ -90,3 +92,52 @@
 	assert.Assert(t, total > 0, "the server with a limit gets no calls")
 	assert.Equal(t, traffic.good.Load(), traffic.all.Load())
 }
+
+// callTogether makes more concurrent calls at a node than the server of its zone has
+// slots, so that some go to other zones.
+func (h *hostedFleet) callTogether(node int) {
+	h.t.Helper()
+	var calls sync.WaitGroup
+	for i := range 12 {
+		calls.Go(func() {
+			_, _, err := h.nodes[node].call("GET", "/view/x", fmt.Sprintf("together-%d-%d", i, time.Now().UnixNano()), "")
+			assert.Check(h.t, err == nil, "%v", err)
+		})
+	}
+	calls.Wait()
+}
+
+// Guards against a backend server that gets new calls although its responses state that
+// it is leaving, while its heartbeats still say that it is ready; also after a restart of
+// the daemon beside it.
+func TestStatedLeavingIsKept(t *testing.T) {
+	checkStatedLeaving(t, false)
+}
+
+// checkStatedLeaving fails the test when an instance that states in its responses that it
+// is leaving gets calls, also after a restart of the daemon beside it.
+func checkStatedLeaving(t *testing.T, storeDown bool) {
+	t.Helper()
+	const drain = 2 * time.Second
+	h := newHostedFleet(t, 3)
+	h.configure(1)
+	h.waitServing()
+	n := h.nodes[1]
+	h.store.SetFaults(thstandin.RowStoreFaults{Unavailable: storeDown})
+	n.instance.SetLeaving(true)
+	waitUntil(t, "a response states it", func() bool { return h.countServed(n, fmt.Sprint("before", time.Now().UnixNano())) > 0 })
+	time.Sleep(drain)
+	assert.Equal(t, h.countServed(n, "leaving"), 0)
+	n.daemon.Kill()
+	n.clearBootstrap(h)
+	n.start(h)
+	waitUntil(t, "the daemon is back", n.isReady)
+	waitUntil(t, "the daemon has a heartbeat", func() bool { return n.instance.SendHeartbeat("ready", 0) == nil })
+	// The daemon beside the server has restarted; the others are bound.
+	before := len(n.instance.Runs())
+	for end, i := time.Now().Add(drain), 0; time.Now().Before(end); i++ {
+		h.callTogether(i % 2 * 2)
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, len(n.instance.Runs())-before, 0)
+}
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -112,6 +112,29 @@
 	return nil
 }
 
+// MarkLeaving records that the current instance states that it is leaving. It does
+// nothing for an earlier instance or process.
+func (g *Registry) MarkLeaving(instance string, start time.Time) {
+	g.notifyMutex.Lock()
+	defer g.notifyMutex.Unlock()
+	g.mutex.Lock()
+	c := g.current
+	if c == nil || c.Instance != instance || !c.StartTime.Equal(start) || c.Leaving {
+		g.mutex.Unlock()
+		return
+	}
+	next := *c
+	next.Leaving = true
+	g.recordLeft(next.Heartbeat)
+	g.current = &next
+	g.mutex.Unlock()
+	g.log().Info("backend server changed", "instance", instance, "version", next.Version, "sequence", next.Sequence,
+		"leaving", true, "stated_by", "response")
+	for _, f := range g.watchers {
+		f(&next)
+	}
+}
+
 // MarkLeft records an instance that left before this daemon started, so that its late
 // heartbeats are ignored.
 func (g *Registry) MarkLeft(instance string, start time.Time) {
--- a/thserver/registry_test.go
+++ b/thserver/registry_test.go
@@ -101,3 +101,24 @@
 	c.Advance(2 * time.Second)
 	assert.Equal(t, state(g, c), thwire.ServerReady)
 }
+
+// Guards against a statement in a response that marks another instance or process than
+// the one that made it, and against a later heartbeat that reverts it.
+func TestMarkLeavingBindsItsInstance(t *testing.T) {
+	address, start := netip.MustParseAddrPort("127.0.0.1:8084"), time.Unix(100, 0)
+	g := &Registry{Address: address}
+	heartbeat := Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, Sequence: 1, StartTime: start}
+	g.MarkLeaving("i-1", start) // without a server
+	assert.NilError(t, g.HandleHeartbeat(heartbeat))
+	g.MarkLeaving("i-2", start)
+	g.MarkLeaving("i-1", start.Add(-time.Second))
+	assert.Assert(t, !g.Current().Leaving)
+	g.MarkLeaving("i-1", start)
+	assert.Assert(t, g.Current().Leaving)
+	heartbeat.Sequence = 2
+	assert.NilError(t, g.HandleHeartbeat(heartbeat))
+	assert.Assert(t, g.Current().Leaving, "reverted by a heartbeat")
+	heartbeat.Sequence, heartbeat.StartTime = 1, start.Add(time.Minute)
+	assert.NilError(t, g.HandleHeartbeat(heartbeat))
+	assert.Assert(t, !g.Current().Leaving, "a new process of the instance is not leaving")
+}
