Remember at the other daemons that a backend server has left

What callers saw: with the store down, a server that had stated that it leaves got 3 calls in 2 s after a restart of the daemon beside it (TestStatedLeavingIsKeptWithoutStore, fails before).

Cause: the departure was in the memory of one daemon and, if it could be written, in the store. Both are gone after a restart during an outage.

Change: each daemon keeps for two minutes which instances members have announced as leaving, chooses none of them whatever the new process of their daemon says, and tells that daemon if it is a neighbour, which then refuses by itself.

Ruled out: correcting the member records themselves; daemons that know the departure and those that don't would hold different records of one member and exchange them without end.

After: no call in 2 s.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -72,6 +72,7 @@
 	http2Server      *http.Server   // ingress for HTTP/2 callers
 	sessions         sessions
 	updater          updater
+	departed         departedInstances
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
 	zoneOut          atomic.Bool
@@ -267,11 +268,12 @@
 		if v == nil {
 			return
 		}
+		members := d.correctMembers(v.Members)
 		if pools.tables != nil {
-			d.balancer.Update(pools.tables, v.Members)
+			d.balancer.Update(pools.tables, members)
 		}
 		if s := d.replica.Current(); s != nil {
-			d.mover.Update(&s.Tables, v.Members)
+			d.mover.Update(&s.Tables, members)
 		}
 	}}
 	// The pools of a version must be usable before its routes are in effect.
--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/thserver"
+	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
 // Timeouts of the store calls that delay the response to a heartbeat. The sender of
@@ -58,6 +59,17 @@
 	}()
 }
 
+// handleMessage handles a member's message about the departure of an instance.
+func (d *departureRecorder) handleMessage(from string, payload []byte) {
+	var m thwire.Departure
+	if err := thwire.Decode(payload, &m); err != nil {
+		d.Log.Warn("ignoring malformed departure of an instance", "from", from, "error", err)
+		return
+	}
+	d.Log.Info("instance has left before this daemon started", "instance", m.Instance, "told_by", from)
+	d.registry.MarkLeft(m.Instance, time.UnixMilli(m.Born))
+}
+
 // store stores the departure of an instance that is leaving, unless it is stored
 // already; the mutex is held.
 func (d *departureRecorder) store(e *thserver.Entry) {
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -51,6 +51,7 @@
 	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler, departures: departures}
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
+	d.node.Handle(thwire.TypeDeparture, departures.handleMessage)
 	d.replica.Watch(func(*thsync.Snapshot) {
 		if e := registry.Current(); e != nil {
 			local.update(e)
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -114,6 +114,12 @@
 	checkStatedLeaving(t, false)
 }
 
+// Guards against the same while the store is down, so that only the other daemons know
+// of the departure after the restart.
+func TestStatedLeavingIsKeptWithoutStore(t *testing.T) {
+	checkStatedLeaving(t, true)
+}
+
 // checkStatedLeaving fails the test when an instance that states in its responses that it
 // is leaving gets calls, also after a restart of the daemon beside it.
 func checkStatedLeaving(t *testing.T, storeDown bool) {
--- a/thstore/departure.go
+++ b/thstore/departure.go
@@ -11,10 +11,10 @@
 
 const (
 	partitionDeparture = "left"
-	// departureTTL is how long the departure of an instance is stored. It exceeds the
+	// DepartureTTL is how long the departure of an instance is stored. It exceeds the
 	// time for which an instance serves after announcing its departure, and the
 	// maximum delay of a heartbeat.
-	departureTTL = 2 * time.Minute
+	DepartureTTL = 2 * time.Minute
 )
 
 // departure is the encoded body of an item in partitionDeparture.
@@ -37,7 +37,7 @@
 		return therror.Wrap(therror.Internal, err, "encode the departure of an instance")
 	}
 	return s.Table.Write(ctx, thplatform.Op{Item: thplatform.Item{
-		Key: departureKey(instance), Body: body, Expiry: s.clock().Now().Add(departureTTL),
+		Key: departureKey(instance), Body: body, Expiry: s.clock().Now().Add(DepartureTTL),
 	}})
 }
 
--- a/thwire/conn_test.go
+++ b/thwire/conn_test.go
@@ -22,7 +22,7 @@
 	return map[Type]Message{
 		TypeHello: &Hello{}, TypeUpdate: &Update{}, TypeDelta: &Delta{}, TypeKnownVersion: &KnownVersion{}, TypeFetch: &Fetch{},
 		TypeBatch: &Batch{}, TypePing: &Ping{}, TypePong: &Pong{}, TypeProbe: &Probe{}, TypeProbeResult: &ProbeResult{},
-		TypeStateDigest: &StateDigest{}, TypeSummary: &Summary{}, TypeRecordRequest: &RecordRequest{}, TypeConfigHeadRequest: &ConfigHeadRequest{}, TypeConfigHead: &ConfigHead{}, TypeReport: &Report{}, TypeOpen: &Open{}, TypeHead: &Head{},
+		TypeStateDigest: &StateDigest{}, TypeSummary: &Summary{}, TypeRecordRequest: &RecordRequest{}, TypeConfigHeadRequest: &ConfigHeadRequest{}, TypeConfigHead: &ConfigHead{}, TypeDeparture: &Departure{}, TypeReport: &Report{}, TypeOpen: &Open{}, TypeHead: &Head{},
 		TypeEnd: &End{}, TypeRefuse: &Refuse{}, TypeCancel: &Cancel{}, TypeCredit: &Credit{}, TypeGoAway: &GoAway{},
 	}
 }
--- a/thwire/frame.go
+++ b/thwire/frame.go
@@ -40,6 +40,7 @@
 	TypeRecordRequest     Type = 24
 	TypeConfigHeadRequest Type = 25
 	TypeConfigHead        Type = 26
+	TypeDeparture         Type = 27
 )
 
 // Sizes of a frame and its parts, in bytes.
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -225,6 +225,13 @@
 	Members []uint64 `msg:"m"` // hashes of name and incarnation
 }
 
+// Departure tells a daemon that a backend server instance has announced that it leaves,
+// before the daemon started.
+type Departure struct {
+	Instance string `msg:"i"`
+	Born     int64  `msg:"o"` // ms since 1970
+}
+
 // Report carries the call statistics of a target about a running move to the coordinator
 // of the move.
 type Report struct {
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -501,6 +501,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Departure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.Born)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Departure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "o":
+			z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Born")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Departure) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
