Keep a stated limit through a restart of the daemon beside the server

Cause: the limit was known to one process only. The other daemons know it from the load in the responses, but their state of the server ended with the process of its daemon.

Change: ingresses keep the limit by instance, also for a new process of its daemon, and send it with each call; the gate adopts it until the first response.

Ruled out: few calls at once after every start until the first response, which costs service in every planned restart; the limit in the member record, which would be flooded whenever it changes.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -127,6 +127,7 @@
 		return nil, err
 	}
 	now := thclock.OrSystem(s.Clock).Now()
+	s.adoptLimit(o.Rate, now)
 	if len(s.queue) == 0 && s.hasFreeSlot(now) {
 		s.admit(now)
 		return nil, nil
@@ -450,7 +451,7 @@
 	defer s.mutex.Unlock()
 	now := thclock.OrSystem(s.Clock).Now()
 	return thwire.Load{
-		Limit: s.concurrency(), Limited: s.stated.active, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
+		Limit: s.concurrency(), Rate: s.stated.rate, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
 		Wait: int64(s.estimateWait(len(s.queue), now)), Time: int64(s.serviceTimes[route]),
 	}
 }
--- a/thadmit/statedlimit.go
+++ b/thadmit/statedlimit.go
@@ -14,9 +14,10 @@
 // statedLimit is the limit that a backend server states in its responses. It applies
 // until a response states another one or none.
 type statedLimit struct {
-	active  bool
-	rate    float64   // calls per second
-	learned time.Time // when the last response that states rate or less has arrived
+	observed bool // a response of the instance has been observed
+	active   bool
+	rate     float64   // calls per second; zero unless active
+	learned  time.Time // when the last response that states rate or less has arrived
 }
 
 // ObserveLimit records the limit, in calls per second, that a response of the backend
@@ -27,6 +28,7 @@
 func (s *Scheduler) ObserveLimit(sent time.Time, limit float64, limited bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.stated.observed = true
 	if !s.stated.active && !limited {
 		return
 	}
@@ -36,14 +38,27 @@
 	if !lower && sent.Before(s.stated.learned) {
 		return
 	}
+	if !limited {
+		rate = 0
+	}
 	if raised := s.stated.active && rate > s.stated.rate; raised {
 		// The next dispatch is due at the pace of the higher limit.
 		s.nextPaced = earliest(s.nextPaced, now.Add(pacingBurst+time.Duration(float64(time.Second)/rate)))
 	}
-	s.stated = statedLimit{active: limited, rate: rate, learned: now}
+	s.stated = statedLimit{observed: true, active: limited, rate: rate, learned: now}
 	s.admitQueued(now)
 }
 
+// adoptLimit adopts the limit that an ingress knows, in calls per second, until the first
+// response is observed: this daemon may have started after the backend server stated it.
+// The mutex is held.
+func (s *Scheduler) adoptLimit(limit float64, now time.Time) {
+	if s.stated.observed || limit <= 0 || s.stated.active && s.stated.rate <= limit {
+		return
+	}
+	s.stated = statedLimit{active: true, rate: max(limit, minStatedRate), learned: now}
+}
+
 // paceRate returns the rate, in calls per second, at which calls are dispatched to a
 // cold server or to one that states a limit, whichever is lower. paced is false for
 // other servers. The rate of a cold server is zero if it has none.
--- a/thadmit/statedlimit_test.go
+++ b/thadmit/statedlimit_test.go
@@ -115,7 +115,7 @@
 	s.run(300 * time.Millisecond)
 	free := s.run(time.Second)
 	assert.Assert(t, total(free) >= 60, "%d calls in 1 s without a limit, with 4 slots of 50 ms each", total(free))
-	assert.Assert(t, !s.Load("view").Limited)
+	assert.Assert(t, s.Load("view").Rate == 0)
 }
 
 // Guards against a response that was made before the server stated its limit, arrives
@@ -126,7 +126,7 @@
 	s.clock.Advance(time.Second)
 	s.ObserveLimit(early, 5, true)
 	s.ObserveLimit(early, 0, false)
-	assert.Assert(t, s.Load("view").Limited, "ended by a response to an earlier call")
+	assert.Assert(t, s.Load("view").Rate > 0, "ended by a response to an earlier call")
 	s.ObserveLimit(early, 9, true)
 	assert.Equal(t, s.stated.rate, 5.0, "raised by a response to an earlier call")
 	s.ObserveLimit(early, 4, true)
@@ -135,7 +135,7 @@
 	assert.Equal(t, s.stated.rate, 9.0)
 	s.clock.Advance(time.Second)
 	s.ObserveLimit(s.clock.Now(), 0, false)
-	assert.Assert(t, !s.Load("view").Limited)
+	assert.Assert(t, s.Load("view").Rate == 0)
 }
 
 // Guards against the successor of a server being held to the limit of the server.
@@ -160,3 +160,21 @@
 	s.ObserveLimit(s.clock.Now(), 1e300, true)
 	assert.Equal(t, s.Load("view").Limit, 20)
 }
+
+// Guards against a burst of calls at a server with a limit after a restart of the daemon
+// beside it: until the first response only the ingresses know the limit.
+func TestStatedLimitIsAdoptedFromIngress(t *testing.T) {
+	s := newStatedServer(t, 20)
+	enter := func(rate float64) error {
+		_, err := s.Enter(t.Context(), &thwire.Open{Route: "view", Deadline: int64(time.Millisecond), Rate: rate})
+		return err
+	}
+	assert.NilError(t, enter(3))
+	assert.Assert(t, therror.Is(enter(0), therror.Full), "an ingress that does not know the limit")
+	assert.Assert(t, therror.Is(enter(8), therror.Full), "an ingress that knows a higher one")
+	s.clock.Advance(time.Second)
+	s.ObserveLimit(s.clock.Now(), 0, false)
+	for range 10 {
+		assert.NilError(t, enter(3), "the server has stopped to state it")
+	}
+}
--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -141,16 +141,12 @@
 }
 
 // updateStates creates the states of new members and removes those of members that
-// are gone. A daemon that has restarted gets a new state.
+// are gone.
 func (b *Balancer) updateStates(members []thwire.Member) {
 	next := make(map[string]*state, len(members))
 	for i := range members {
 		m := &members[i]
-		s := b.states[m.Name]
-		if s == nil || s.incarnation != m.Incarnation {
-			s = &state{incarnation: m.Incarnation}
-		}
-		next[m.Name] = s
+		next[m.Name] = b.states[m.Name].forMember(m)
 	}
 	b.states = next
 }
--- a/thbalance/balancer_test.go
+++ b/thbalance/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -312,3 +313,25 @@
 		}
 	})
 }
+
+// Guards against a limit that an instance has stated being forgotten with the daemon
+// beside it, or kept for its successor.
+func TestStatedRateRemainsWithTheInstance(t *testing.T) {
+	m := thwire.Member{Name: "a", Incarnation: 1, Server: &thwire.Server{Instance: "i-1"}}
+	first := (*state)(nil).forMember(&m)
+	first.rate.Store(math.Float64bits(7))
+	first.limit.Store(1)
+	assert.Assert(t, first.forMember(&m) == first)
+	m.Incarnation, m.Server = 2, nil
+	restarted := first.forMember(&m)
+	assert.Assert(t, restarted != first)
+	m.Server = &thwire.Server{Instance: "i-1"}
+	restarted = restarted.forMember(&m)
+	s := Server{state: restarted}
+	assert.Equal(t, s.StatedRate(), 7.0)
+	assert.Equal(t, s.limit.Load(), int64(1))
+	m.Server = &thwire.Server{Instance: "i-2"}
+	s = Server{state: restarted.forMember(&m)}
+	assert.Equal(t, s.StatedRate(), 0.0)
+	assert.Equal(t, s.limit.Load(), int64(0))
+}
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -57,13 +57,14 @@
 // in ns since 1970.
 type state struct {
 	incarnation   uint64       // of the member
+	instance      string       // of the backend server; empty if it has no id
 	inflight      atomic.Int64 // calls of this daemon in progress
-	limit         atomic.Int64 // limit, active, queued, cold and limited are the last advertised load
+	limit         atomic.Int64 // limit, active, queued, cold and rate are the last advertised load
 	active        atomic.Int64
 	queued        atomic.Int64
 	cold          atomic.Bool
-	limited       atomic.Bool  // the server states a limit of calls per second
-	loadTime      atomic.Int64 // time of the advertised load
+	rate          atomic.Uint64 // bits of the calls per second that the server states as its limit; zero without one
+	loadTime      atomic.Int64  // time of the advertised load
 	avoidedUntil  atomic.Int64
 	ejectedUntil  atomic.Int64
 	ejections     atomic.Int64 // consecutive ejections
@@ -74,6 +75,31 @@
 	lastSuccess   atomic.Int64 // time of the last response that was no server error
 }
 
+// forMember returns the state for a member record: s, or a new one for a new process of
+// the daemon. The limit that an instance has stated remains with the instance. s may be
+// nil.
+func (s *state) forMember(m *thwire.Member) *state {
+	n := s
+	switch {
+	case s == nil:
+		n = &state{incarnation: m.Incarnation}
+	case s.incarnation != m.Incarnation:
+		n = &state{incarnation: m.Incarnation, instance: s.instance}
+		if rate := s.rate.Load(); rate != 0 {
+			n.rate.Store(rate)
+			n.limit.Store(s.limit.Load())
+		}
+	}
+	if m.Server == nil || m.Server.Instance == n.instance {
+		return n
+	}
+	n.instance = m.Server.Instance
+	if n.rate.Swap(0) != 0 {
+		n.limit.Store(0) // derived from the limit of the earlier instance
+	}
+	return n
+}
+
 // Server is a candidate of a pool. Call Begin before and Done after each call to it.
 type Server struct {
 	Member thwire.Member // immutable
@@ -110,7 +136,7 @@
 		s.active.Store(int64(r.Load.Active))
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
-		s.limited.Store(r.Load.Limited)
+		s.rate.Store(math.Float64bits(r.Load.Rate))
 		s.loadTime.Store(now.UnixNano())
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
@@ -250,7 +276,7 @@
 		return classEjected
 	case s.avoidedUntil.Load() > at:
 		return classAvoided
-	case (s.isCold() || s.limited.Load()) && s.inUse(at) >= s.capacity():
+	case (s.isCold() || s.StatedRate() > 0) && s.inUse(at) >= s.capacity():
 		return classAvoided
 	}
 	return classUsable
@@ -261,6 +287,10 @@
 	return s.Member.Server.State == thwire.ServerStarting || s.cold.Load()
 }
 
+// StatedRate returns the limit in calls per second that the backend server last stated;
+// zero without one.
+func (s *Server) StatedRate() float64 { return math.Float64frombits(s.rate.Load()) }
+
 // capacity returns the advertised limit, or an estimate before the first response.
 func (s *Server) capacity() int64 {
 	if n := s.limit.Load(); n > 0 {
@@ -339,7 +369,7 @@
 		InFlight: int(s.inflight.Load()), Weight: s.weight(now),
 		Load: thwire.Load{
 			Limit: int(s.limit.Load()), Active: int(s.active.Load()),
-			Queued: int(s.queued.Load()), Cold: s.cold.Load(), Limited: s.limited.Load(),
+			Queued: int(s.queued.Load()), Cold: s.cold.Load(), Rate: s.StatedRate(),
 		},
 		Ejected: max(0, time.Duration(s.ejectedUntil.Load()-now.UnixNano())),
 		Avoided: max(0, time.Duration(s.avoidedUntil.Load()-now.UnixNano())),
--- a/thdaemon/adapters.go
+++ b/thdaemon/adapters.go
@@ -32,6 +32,7 @@
 type choice struct{ server *thbalance.Server }
 
 func (c choice) Member() *thwire.Member { return &c.server.Member }
+func (c choice) StatedRate() float64    { return c.server.StatedRate() }
 func (c choice) Begin()                 { c.server.Begin() }
 
 func (c choice) Done(r thproxy.Result) {
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -46,18 +46,18 @@
 	return most, total
 }
 
-// randomTraffic sends calls to random nodes, with exponential gaps, until ctx ends.
+// randomTraffic sends calls to random ones of some nodes, with exponential gaps, until ctx ends.
 type randomTraffic struct {
 	good, all atomic.Int64
 	clients   sync.WaitGroup
 }
 
-func (r *randomTraffic) start(ctx context.Context, h *hostedFleet, rate float64) {
+func (r *randomTraffic) start(ctx context.Context, nodes []*hostedNode, rate float64) {
 	r.clients.Go(func() {
 		random := rand.New(rand.NewPCG(*seed, 1))
 		for i := 0; ctx.Err() == nil; i++ {
 			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
-			n := h.nodes[random.IntN(len(h.nodes))]
+			n := nodes[random.IntN(len(nodes))]
 			r.clients.Go(func() {
 				status, _, err := n.call("GET", "/view/x", fmt.Sprintf("random-%d", i), "")
 				r.all.Add(1)
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var traffic randomTraffic
-	traffic.start(ctx, h, 90)
+	traffic.start(ctx, h.nodes, 90)
 	limited.SetLimit(fmt.Sprint(limit))
 	binding := time.Now().Add(limitNotice)
 	time.Sleep(limitNotice + limitWindow + time.Second)
@@ -93,6 +93,32 @@
 	assert.Equal(t, traffic.good.Load(), traffic.all.Load())
 }
 
+// Guards against a burst of requests at a server with a limit after a restart of the
+// daemon beside it, which has forgotten the limit, while the other daemons know it.
+func TestStatedLimitIsKeptThroughRestart(t *testing.T) {
+	const limit, slots = 2, 24
+	h := startHostedFleet(t, 3, slots, 300*time.Millisecond)
+	h.configure(1)
+	h.waitServing()
+	limited := h.nodes[0]
+	limited.instance.SetLimit(fmt.Sprint(limit))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var traffic randomTraffic
+	traffic.start(ctx, h.nodes[1:], 170)
+	binding := time.Now().Add(limitNotice)
+	time.Sleep(limitNotice + time.Second)
+	limited.daemon.Kill()
+	limited.clearBootstrap(h)
+	limited.start(h)
+	time.Sleep(limitWindow)
+	cancel()
+	traffic.clients.Wait()
+	most, total := mostWithin(limited.instance.Arrivals(), binding, limitWindow)
+	t.Logf("%d requests in %s, %d in all, %d of %d calls good", most, limitWindow, total, traffic.good.Load(), traffic.all.Load())
+	assert.Assert(t, most <= allowedByLimit(limit), "%d requests in %s, %d allowed", most, limitWindow, allowedByLimit(limit))
+}
+
 // callTogether makes more concurrent calls at a node than the server of its zone has
 // slots, so that some go to other zones.
 func (h *hostedFleet) callTogether(node int) {
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -30,6 +30,9 @@
 	store  *thstandin.RowStore
 	server *httptest.Server
 	nodes  []*hostedNode
+
+	slots          int           // of each backend server
+	processingTime time.Duration // of a request
 }
 
 // hostedNode is a daemon process and the stand-in of its backend server.
@@ -55,7 +58,12 @@
 // newHostedFleet starts the store and the nodes. Daemons are killed when the test ends,
 // and their logs are printed if it failed.
 func newHostedFleet(t *testing.T, nodes int) *hostedFleet {
-	h := &hostedFleet{t: t, dir: t.TempDir(), store: &thstandin.RowStore{}}
+	return startHostedFleet(t, nodes, 4, 5*time.Millisecond)
+}
+
+// startHostedFleet is newHostedFleet with the properties of the backend servers.
+func startHostedFleet(t *testing.T, nodes, slots int, processingTime time.Duration) *hostedFleet {
+	h := &hostedFleet{t: t, dir: t.TempDir(), store: &thstandin.RowStore{}, slots: slots, processingTime: processingTime}
 	h.server = httptest.NewServer(h.store)
 	t.Cleanup(h.server.CloseClientConnections)
 	for i := range nodes {
@@ -86,8 +94,8 @@
 		strings.TrimPrefix(h.server.URL, "http://"), at(hostedServerPort))
 	assert.NilError(h.t, os.WriteFile(n.settings, []byte(content), 0o600))
 	n.instance = &thstandin.Instance{
-		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: "v1", Zone: fmt.Sprintf("zone-%d", i), Slots: 4,
-		Address: at(hostedServerPort), ControlAddress: at(hostedControlPort), ProcessingTime: 5 * time.Millisecond, StartTime: time.Now(),
+		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: "v1", Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
+		Address: at(hostedServerPort), ControlAddress: at(hostedControlPort), ProcessingTime: h.processingTime, StartTime: time.Now(),
 	}
 	l, err := net.Listen("tcp", at(hostedServerPort))
 	assert.NilError(h.t, err)
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -239,7 +239,7 @@
 		choice.Done(result)
 		c.observe(m.Name, result)
 	}()
-	err = c.dispatch(m, start, &result)
+	err = c.dispatch(choice, start, &result)
 	if !therror.IsNotRun(err) || therror.Is(err, therror.Shed) {
 		if c.reached == 0 && c.parent.isRetry() && c.RetryBudget != nil {
 			c.RetryBudget.CountRetry(c.basePool)
@@ -260,8 +260,8 @@
 }
 
 // dispatch sends an attempt to a chosen server and fills in the result.
-func (c *call) dispatch(m *thwire.Member, start time.Time, result *Result) error {
-	o := c.open
+func (c *call) dispatch(choice Choice, start time.Time, result *Result) error {
+	m, o := choice.Member(), c.open
 	if d, ok := c.ctx.Deadline(); ok {
 		o.Deadline = max(int64(time.Until(d)), 1)
 	}
@@ -274,7 +274,7 @@
 	}
 	o.Again = c.reached > 0 || c.parent.isRetry()
 	if m.Server != nil {
-		o.Instance = m.Server.Instance
+		o.Instance, o.Rate = m.Server.Instance, choice.StatedRate()
 	}
 	if c.Local != nil && m.Name == c.Self {
 		return c.dispatchLocal(o, result)
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -53,6 +53,9 @@
 // server and Done after it.
 type Choice interface {
 	Member() *thwire.Member
+	// StatedRate returns the limit in calls per second that the server last stated; zero
+	// without one.
+	StatedRate() float64
 	Begin()
 	Done(Result)
 }
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -94,6 +94,7 @@
 }
 
 func (c fakeChoice) Member() *thwire.Member { return c.member }
+func (c fakeChoice) StatedRate() float64    { return 0 }
 func (c fakeChoice) Begin()                 {}
 func (c fakeChoice) Done(r Result) {
 	c.mutex.Lock()
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -269,9 +269,9 @@
 	Active int  `msg:"a"` // calls in progress
 	Queued int  `msg:"q"` // calls in the queue
 	Cold   bool `msg:"c"` // the backend server is starting up or has become cold
-	// Limited means that the backend server states a limit of calls per second, from
-	// which Limit is derived.
-	Limited bool `msg:"r,omitempty"`
+	// Rate is the number of calls per second that the backend server states as its
+	// limit, from which Limit is derived; zero if it states none.
+	Rate float64 `msg:"r,omitempty"`
 	// Wait is the estimated queueing delay of a further call of the lowest priority.
 	Wait int64 `msg:"w"` // ns
 	// Time is the time that the backend server takes for a call of the same route;
@@ -307,6 +307,9 @@
 	Late     bool     `msg:"b"` // from a retrying client, and the latency objective has passed
 	Begun    bool     `msg:"n"` // nested call whose parent call has already received responses to other nested calls
 	Again    bool     `msg:"a"` // retry: an earlier attempt of the call may have run
+	// Rate is the limit in calls per second that Instance last stated, as known to the
+	// ingress; zero without one.
+	Rate float64 `msg:"l,omitempty"`
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1354,7 +1354,7 @@
 	zb0001Len := uint32(7)
 	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
-	if z.Limited == false {
+	if z.Rate == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
@@ -1378,7 +1378,7 @@
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
-			o = msgp.AppendBool(o, z.Limited)
+			o = msgp.AppendFloat64(o, z.Rate)
 		}
 		// string "w"
 		o = append(o, 0xa1, 0x77)
@@ -1437,9 +1437,9 @@
 				return
 			}
 		case "r":
-			z.Limited, bts, err = msgp.ReadBoolBytes(bts)
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Limited")
+				err = msgp.WrapError(err, "Rate")
 				return
 			}
 		case "w":
@@ -1468,7 +1468,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -1778,76 +1778,94 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 20
-	// string "s"
-	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x73)
-	o = msgp.AppendUint32(o, z.Stream)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Route)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendString(o, z.Pool)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendString(o, z.Class)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Method)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Target)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
-	for za0001 := range z.Header {
-		// map header, size 2
-		// string "n"
-		o = append(o, 0x82, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Header[za0001].Name)
+	// check for omitted fields
+	zb0001Len := uint32(21)
+	var zb0001Mask uint32 /* 21 bits */
+	_ = zb0001Mask
+	if z.Rate == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100000
+	}
+	// variable map header, size zb0001Len
+	o = msgp.AppendMapHeader(o, zb0001Len)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint32(o, z.Stream)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendString(o, z.Header[za0001].Value)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendString(o, z.Route)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendString(o, z.Pool)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendString(o, z.Class)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Method)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Target)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Host)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Header)))
+		for za0001 := range z.Header {
+			// map header, size 2
+			// string "n"
+			o = append(o, 0x82, 0xa1, 0x6e)
+			o = msgp.AppendString(o, z.Header[za0001].Name)
+			// string "v"
+			o = append(o, 0xa1, 0x76)
+			o = msgp.AppendString(o, z.Header[za0001].Value)
+		}
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendInt64(o, z.Deadline)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendInt(o, z.Depth)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.Key)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendBool(o, z.Once)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendBool(o, z.Ended)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Instance)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendInt(o, z.Priority)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendInt64(o, z.Goal)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBool(o, z.Late)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendBool(o, z.Begun)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendBool(o, z.Again)
+		if (zb0001Mask & 0x100000) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendFloat64(o, z.Rate)
+		}
 	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendInt64(o, z.Deadline)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendInt(o, z.Depth)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.Once)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendBool(o, z.Ended)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Instance)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendInt(o, z.Priority)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendInt64(o, z.Goal)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBool(o, z.Late)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendBool(o, z.Begun)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Again)
 	return
 }
 
@@ -2043,6 +2061,12 @@
 				err = msgp.WrapError(err, "Again")
 				return
 			}
+		case "l":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2061,7 +2085,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size
 	return
 }
 
