Log refused answers of the store, and reproduce lost changes after a restore

The log named only the first failure of the source, so an answer that was refused could not be told from a store that is away. It now names each change of the kind of error.

The stand-in of the store can come back from a copy: versions are given out again, a feed from a version that it does not have gets 410, and Store-Era rises.

--- a/thstandin/rows.go
+++ b/thstandin/rows.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -55,6 +56,7 @@
 	history        []Row  // in order of versions, deleted rows included
 	droppedVersion uint64 // history starts after it; feeds from an earlier version get status 410
 	version        uint64
+	era            uint64        // number of restores, sent in header Store-Era
 	changed        chan struct{} // closed at the next change of rows or faults; nil without waiting feeds
 	faults         RowStoreFaults
 	reads          int
@@ -88,9 +90,36 @@
 	Deletes    []rowEntry `json:"deletes"`
 }
 
+// RowStoreCopy is a copy of a RowStore at one version.
+type RowStoreCopy struct {
+	rows    map[rowKey]Row
+	version uint64
+}
+
+// Copy returns a copy of the current rows.
+func (s *RowStore) Copy() RowStoreCopy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return RowStoreCopy{rows: maps.Clone(s.rows), version: s.version}
+}
+
+// Restore replaces the rows by those of a copy. Later versions are given out again, the
+// history starts at the copy, and the era rises by one.
+func (s *RowStore) Restore(c RowStoreCopy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.history, s.droppedVersion = nil, c.version
+	s.era++
+	s.notifyFeeds()
+}
+
 // ServeHTTP serves reads, the feed and transactions to daemons.
 func (s *RowStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f := s.Faults()
+	s.mutex.Lock()
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	s.mutex.Unlock()
 	host, _, _ := net.SplitHostPort(r.RemoteAddr)
 	// net/http detects that the client has closed the connection only after the body
 	// has been read.
@@ -236,7 +265,7 @@
 	for ended := false; ; {
 		s.mutex.Lock()
 		s.reads++
-		if after < s.droppedVersion {
+		if after < s.droppedVersion || after > s.version {
 			s.mutex.Unlock()
 			http.Error(w, "history dropped", http.StatusGone)
 			return
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -197,7 +197,7 @@
 
 // readSource requests changes from the source until ctx ends, one request at a time.
 func (f *Follower) readSource(ctx context.Context) {
-	backoff, lostSince, lastSeen, failures := initialRetryDelay, time.Time{}, uint64(0), 0
+	backoff, lostSince, lastSeen, failures, lastKind := initialRetryDelay, time.Time{}, uint64(0), 0, therror.Kind("")
 	for ctx.Err() == nil {
 		if f.awaitReader(ctx) {
 			// The changes missed meanwhile may be longer than the current orders.
@@ -211,7 +211,10 @@
 		case err != nil:
 			if lostSince.IsZero() {
 				lostSince = f.Clock.Now()
-				f.Log.Warn("configuration source lost", "version", f.version(), "error", err)
+			}
+			if kind := therror.KindOf(err); kind != lastKind {
+				lastKind = kind
+				f.Log.Warn("configuration source lost", "version", f.version(), "since", f.Clock.Since(lostSince), "kind", kind, "error", err)
 			}
 			f.sourceLost.Store(true)
 			failures++
@@ -224,7 +227,7 @@
 			continue
 		case !lostSince.IsZero():
 			f.Log.Info("configuration source available again", "version", f.version(), "after", f.Clock.Since(lostSince))
-			lostSince = time.Time{}
+			lostSince, lastKind = time.Time{}, ""
 		}
 		f.sourceLost.Store(false)
 		f.setDisconnected(false)
