Order the store's versions by its generation

Cause: a guard that takes a counter for a clock. Rows kept from before the loss have higher versions than those given out again, so every read was refused as older (log: 'the store's response is of version 5, but row config has version 25'), and daemons would have refused each other's tables for the same reason.

Change: versions of the configuration combine the store's generation (header Store-Era) and its counter, so every comparison in the fleet orders them. The first read of a generation new to the fleet is followed by a second one before it counts, since the copy lacks what operators are writing again. The number of the configuration is part of the tables, so an older one is refused whoever read it; the daemon that keeps it no longer depends on its own reads.

Before: TestChangeAfterRestoreIsInEffect failed.

--- a/thconfig/desired.go
+++ b/thconfig/desired.go
@@ -14,7 +14,7 @@
 // to a store of rows instead of using the operator commands: a complete
 // configuration, rollouts of service versions, and zones to take out of service.
 type DesiredState struct {
-	Version   uint64 // of the store; increases with each change
+	Version   uint64 // as returned by StoreVersion; increases with each change
 	Config    Config
 	ConfigErr error // error of reading Config; nil if it was read
 	Rollouts  []Rollout
@@ -45,7 +45,7 @@
 // running rollout adds a second pool with the backend servers of its target, and
 // a move between the two pools.
 func (d *DesiredState) Tables() Tables {
-	t := Tables{Version: d.Version, Routes: slices.Clone(d.Config.Routes), Services: slices.Clone(d.Config.Services)}
+	t := Tables{Version: d.Version, Revision: d.Config.Revision, Routes: slices.Clone(d.Config.Routes), Services: slices.Clone(d.Config.Services)}
 	limits := d.Config.Limits
 	t.Limits = &limits
 	for _, s := range d.Config.Services {
@@ -83,6 +83,16 @@
 	})
 }
 
+// Config returns the configuration that DesiredState.Tables has converted; its Revision is
+// zero for tables of another origin.
+func (t *Tables) Config() Config {
+	c := Config{Revision: t.Revision, Routes: t.Routes, Services: t.Services}
+	if t.Limits != nil {
+		c.Limits = *t.Limits
+	}
+	return c
+}
+
 // TargetPoolName returns the name of the pool of a rollout's target. The separator
 // doesn't occur in names of services.
 func TargetPoolName(service, version string) string { return service + "@" + version }
--- a/thconfig/schema.go
+++ b/thconfig/schema.go
@@ -19,6 +19,7 @@
 
 	Limits   *Limits   `msg:"limits,omitempty"`   // nil means the limits of the daemon's settings
 	Services []Service `msg:"services,omitempty"` // may lack services that pools name
+	Revision uint64    `msg:"revision,omitempty"` // that operators assigned to the configuration; zero if they assign none
 }
 
 // Limits are the limits on callers' requests and connections.
--- a/thconfig/schema_gen.go
+++ b/thconfig/schema_gen.go
@@ -1129,8 +1129,8 @@
 func (z *Tables) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Limits == nil {
 		zb0001Len--
@@ -1140,6 +1140,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Revision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1218,6 +1222,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "revision"
+			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendUint64(o, z.Revision)
+		}
 	}
 	return
 }
@@ -1421,6 +1430,12 @@
 					return
 				}
 			}
+		case "revision":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1461,6 +1476,7 @@
 	for za0005 := range z.Services {
 		s += z.Services[za0005].Msgsize()
 	}
+	s += 9 + msgp.Uint64Size
 	return
 }
 
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -74,20 +74,19 @@
 	// versions that it has not read by then.
 	Apply time.Duration
 
-	current       atomic.Pointer[Snapshot]
-	status        atomic.Pointer[Status]
-	cachedRole    atomic.Pointer[role]
-	sourceLost    atomic.Bool   // the last request to the source failed
-	replacedSince atomic.Int64  // when other daemons took over reading, in ns since 1970; zero if they have not
-	readOnce      atomic.Bool   // read the source once even if this daemon is not a reader
-	wakeReader    chan struct{} // wakes readSource when this daemon is a reader or has to read once
-	newerVersion  chan struct{} // ends awaitMoreChanges when another daemon holds a newer version
-	watchers      []func(*Snapshot)
-	preparers     []func(*Snapshot)
+	current           atomic.Pointer[Snapshot]
+	status            atomic.Pointer[Status]
+	cachedRole        atomic.Pointer[role]
+	settledGeneration uint64        // generation of the source of which orders may take effect; used by readSource only
+	sourceLost        atomic.Bool   // the last request to the source failed
+	replacedSince     atomic.Int64  // when other daemons took over reading, in ns since 1970; zero if they have not
+	readOnce          atomic.Bool   // read the source once even if this daemon is not a reader
+	wakeReader        chan struct{} // wakes readSource when this daemon is a reader or has to read once
+	newerVersion      chan struct{} // ends awaitMoreChanges when another daemon holds a newer version
+	watchers          []func(*Snapshot)
+	preparers         []func(*Snapshot)
 
 	mutex         sync.Mutex // serialises swaps and guards the fields up to partialFrom
-	latest        *thconfig.DesiredState
-	config        thconfig.Config // last valid configuration
 	lastErr       error
 	behindSince   time.Time // since when another daemon is known to hold a version newer than behindVersion
 	behindVersion uint64    // version in effect here at behindSince
@@ -233,8 +232,11 @@
 		f.setDisconnected(false)
 		backoff, failures = initialRetryDelay, 0
 		if o != nil {
-			f.applyOrders(o)
-			if o.Version > lastSeen {
+			settled := f.isSettled(o)
+			if settled {
+				f.applyOrders(o)
+			}
+			if o.Version > lastSeen || !settled {
 				lastSeen = o.Version
 				// More changes often follow, and one full read then returns them all. It also
 				// detects that the source has become unavailable, which a long poll of up to
@@ -246,6 +248,32 @@
 	}
 }
 
+// isSettled reports whether orders may take effect. A store that has come back from a
+// copy lacks the latest orders until the operators have written them again: the first
+// read of a generation that is new to the fleet does not count.
+func (f *Follower) isSettled(o *thconfig.DesiredState) bool {
+	generation, known := thconfig.Generation(o.Version), f.newestKnown()
+	if known == 0 || generation <= thconfig.Generation(known) || generation == f.settledGeneration {
+		return true
+	}
+	f.settledGeneration = generation
+	f.Log.Warn("configuration source has come back from a copy", "generation", generation, "version", o.Version,
+		"number", o.Config.Revision, "kept", f.version())
+	return false
+}
+
+// newestKnown returns the newest version that is known to be in effect at a daemon, zero
+// if none is.
+func (f *Follower) newestKnown() uint64 {
+	newest := f.version()
+	if v := f.Peers.View(); v != nil {
+		for _, h := range v.Held {
+			newest = max(newest, h.Version)
+		}
+	}
+	return newest
+}
+
 // awaitMoreChanges pauses after a change so that the next read returns several. It
 // ends early when another daemon holds a newer version, so that the readers of all
 // zones read it at the same time.
@@ -285,7 +313,11 @@
 func (f *Follower) applyOrders(o *thconfig.DesiredState) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if o.Config.Revision == 0 && o.ConfigErr == nil && f.config.Revision == 0 {
+	var kept thconfig.Config
+	if s := f.current.Load(); s != nil {
+		kept = s.Tables.Config()
+	}
+	if o.Config.Revision == 0 && o.ConfigErr == nil && kept.Revision == 0 {
 		f.Log.Info("no configuration yet", "version", o.Version)
 		return
 	}
@@ -293,28 +325,34 @@
 	if err == nil {
 		err = o.Config.Validate()
 	}
-	if err == nil && o.Config.Revision < f.config.Revision {
-		err = therror.New(therror.Older, "configuration %d is older than %d", o.Config.Revision, f.config.Revision)
+	if err == nil && o.Config.Revision < kept.Revision {
+		err = therror.New(therror.Older, "configuration %d is older than %d", o.Config.Revision, kept.Revision)
 	}
 	f.lastErr = err
 	if err != nil {
-		f.Log.Error("configuration refused", "version", o.Version, "number", o.Config.Revision, "kept", f.config.Revision, "error", err)
-		if f.config.Revision == 0 {
+		f.Log.Error("configuration refused", "version", o.Version, "number", o.Config.Revision, "kept", kept.Revision, "error", err)
+		if kept.Revision == 0 {
 			return
 		}
-		kept := *o
-		kept.Config, kept.ConfigErr = f.config, nil
-		o = &kept
+		valid := *o
+		valid.Config, valid.ConfigErr = kept, nil
+		o = &valid
 	}
-	f.config, f.latest = o.Config, o
 	f.swap(o.Tables(), "source")
 }
 
 // swap puts tables in effect if they are newer than those in effect. The caller
 // holds the mutex.
 func (f *Follower) swap(t thconfig.Tables, from string) {
-	if s := f.current.Load(); s != nil && t.Version <= s.Tables.Version {
-		return
+	if s := f.current.Load(); s != nil {
+		switch {
+		case t.Version <= s.Tables.Version:
+			return
+		case t.Revision < s.Tables.Revision:
+			// Of a daemon that has started with a source that had come back from a copy.
+			f.Log.Error("configuration refused", "version", t.Version, "from", from, "number", t.Revision, "kept", s.Tables.Revision)
+			return
+		}
 	}
 	r, err := throute.CompilePrefixes(t)
 	if err != nil {
