Let rollouts continue when the store has come back from a copy

Cause: the identity of a rollout was the store's version of its order, and its end was known only from the store's row. A copy lacks the row, and an order that is written again has another version; a version that is given out again names another order.

Change: the tables keep ended rollouts as ended moves, so every daemon knows them; a rollout of a new generation continues the move of the same service and target, and an end is final. The order's version has its generation, in the name of the move and in the condition under which the end is written: an end is not written for another order that has got the same number.

--- a/thconfig/desired.go
+++ b/thconfig/desired.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -33,9 +32,10 @@
 type Rollout struct {
 	Service      string
 	Target       string        // version that receives the traffic
-	OrderVersion uint64        // version of the store that added the rollout
+	OrderVersion uint64        // version of the store that added the rollout, as returned by StoreVersion
 	Span         time.Duration // time from the request to its deadline
 	State        string        // MoveRunning, MoveDone or MoveReverted
+	Move         string        // name of the move that the rollout continues; empty for a new one
 }
 
 // servicePoolFloor is the Floor, in percent, of the pools that represent services.
@@ -61,26 +61,48 @@
 	return t
 }
 
-// addRollout adds the pool and the move of a rollout. It ignores a rollout of an
+// addRollout adds the move of a rollout and, while it is running, the pool of its target.
+// It ignores a rollout of an
 // unknown service or without target.
 func (t *Tables) addRollout(r Rollout) {
 	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == r.Service })
 	if i < 0 || r.Target == "" {
 		return
 	}
-	if r.State == MoveDone {
-		t.Pools[i].Version = r.Target
-		return
-	}
-	t.Pools[i].Except = r.Target
-	if r.State != MoveRunning {
-		return
-	}
 	to := TargetPoolName(r.Service, r.Target)
-	t.Pools = append(t.Pools, Pool{Name: to, Service: r.Service, Version: r.Target, Floor: servicePoolFloor})
 	t.Moves = append(t.Moves, Move{
-		Name: MoveName(r), From: r.Service, To: to, State: MoveRunning, Span: r.Span,
+		Name: MoveName(r), From: r.Service, To: to, State: r.State, Span: r.Span, Order: r.OrderVersion,
 	})
+	switch r.State {
+	case MoveDone:
+		t.Pools[i].Version = r.Target
+	case MoveRunning:
+		t.Pools[i].Except = r.Target
+		t.Pools = append(t.Pools, Pool{Name: to, Service: r.Service, Version: r.Target, Floor: servicePoolFloor})
+	default:
+		t.Pools[i].Except = r.Target
+	}
+}
+
+// ContinueRollouts makes rollouts continue their moves in the tables in effect. The end of
+// a rollout is final, also where a store that has come back from a copy has lost it. The
+// orders that such a store has, or that operators write to it again, are those from before,
+// whatever their version is.
+func (d *DesiredState) ContinueRollouts(t *Tables) {
+	restored := Generation(d.Version) > Generation(t.Version)
+	for i := range d.Rollouts {
+		r := &d.Rollouts[i]
+		to := TargetPoolName(r.Service, r.Target)
+		for _, m := range t.Moves {
+			if m.From != r.Service || m.To != to || m.Order != r.OrderVersion && !restored {
+				continue
+			}
+			r.Move = m.Name
+			if r.State == MoveRunning {
+				r.State = m.State
+			}
+		}
+	}
 }
 
 // Config returns the configuration that DesiredState.Tables has converted; its Revision is
@@ -100,7 +122,10 @@
 // MoveName returns the name of a rollout's move. The OrderVersion makes the names
 // of repeated rollouts to the same target distinct.
 func MoveName(r Rollout) string {
-	return TargetPoolName(r.Service, r.Target) + "#" + strconv.FormatUint(r.OrderVersion, 10)
+	if r.Move != "" {
+		return r.Move
+	}
+	return TargetPoolName(r.Service, r.Target) + "#" + VersionText(r.OrderVersion)
 }
 
 func (t *Tables) sortByName() {
@@ -191,14 +216,12 @@
 	return []WeightedPool{{Pool: r.Pool, Weight: 1}}
 }
 
-// RolloutFromMove parses the name of a move, as returned by MoveName, and returns
-// its rollout in the given state. The result is false for a move of another form.
+// RolloutFromMove returns the rollout of a move in the given state. The result is false
+// for a move that is no rollout.
 func RolloutFromMove(m Move, state string) (Rollout, bool) {
-	rest, number, found := strings.Cut(m.Name, "#")
-	service, target, named := strings.Cut(rest, "@")
-	order, err := strconv.ParseUint(number, 10, 64)
-	if !found || !named || err != nil {
+	service, target, named := strings.Cut(m.To, "@")
+	if !named || service != m.From || m.Order == 0 {
 		return Rollout{}, false
 	}
-	return Rollout{Service: service, Target: target, OrderVersion: order, Span: m.Span, State: state}, true
+	return Rollout{Service: service, Target: target, OrderVersion: m.Order, Span: m.Span, State: state, Move: m.Name}, true
 }
--- a/thconfig/schema.go
+++ b/thconfig/schema.go
@@ -97,6 +97,10 @@
 	// Span is the time from start to deadline of a move that has no Start and
 	// Deadline. Each daemon then counts from the time when it first sees the move.
 	Span time.Duration `msg:"span,omitempty"`
+
+	// Order is the version of the rollout's order, as returned by StoreVersion; zero for a
+	// move that is no rollout.
+	Order uint64 `msg:"order,omitempty"`
 }
 
 // Matches reports whether backend servers of a service and version belong to the pool.
--- a/thconfig/schema_gen.go
+++ b/thconfig/schema_gen.go
@@ -503,8 +503,8 @@
 func (z *Move) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(9)
-	var zb0001Mask uint16 /* 9 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Reason == "" {
 		zb0001Len--
@@ -514,6 +514,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
+	if z.Order == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -550,6 +554,11 @@
 			o = append(o, 0xa4, 0x73, 0x70, 0x61, 0x6e)
 			o = msgp.AppendDuration(o, z.Span)
 		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "order"
+			o = append(o, 0xa5, 0x6f, 0x72, 0x64, 0x65, 0x72)
+			o = msgp.AppendUint64(o, z.Order)
+		}
 	}
 	return
 }
@@ -630,6 +639,12 @@
 				err = msgp.WrapError(err, "Span")
 				return
 			}
+		case "order":
+			z.Order, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Order")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -644,7 +659,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Move) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.To) + 6 + msgp.TimeSize + 9 + msgp.TimeSize + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.StringPrefixSize + len(z.Reason) + 5 + msgp.DurationSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.StringPrefixSize + len(z.Route) + 5 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.StringPrefixSize + len(z.To) + 6 + msgp.TimeSize + 9 + msgp.TimeSize + 6 + msgp.StringPrefixSize + len(z.State) + 7 + msgp.StringPrefixSize + len(z.Reason) + 5 + msgp.DurationSize + 6 + msgp.Uint64Size
 	return
 }
 
--- a/thconfig/storeversion.go
+++ b/thconfig/storeversion.go
@@ -1,6 +1,10 @@
 package thconfig
 
-import "github.com/turmerichaven/turmerichaven/therror"
+import (
+	"strconv"
+
+	"github.com/turmerichaven/turmerichaven/therror"
+)
 
 // A store may come back from a copy: it then gives versions out again, and its
 // generation rises. Version numbers of the configuration combine both, with the
@@ -22,3 +26,16 @@
 
 // Generation returns the generation of a version returned by StoreVersion.
 func Generation(version uint64) uint64 { return version >> storeNumberBits }
+
+// StoreNumber returns the version of the generation of a version returned by StoreVersion.
+func StoreNumber(version uint64) uint64 { return version & maxStoreNumber }
+
+// VersionText returns a version as text: its number, after the generation and a dot if
+// that is above zero.
+func VersionText(version uint64) string {
+	number := strconv.FormatUint(StoreNumber(version), 10)
+	if g := Generation(version); g > 0 {
+		return strconv.FormatUint(g, 10) + "." + number
+	}
+	return number
+}
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -289,12 +289,13 @@
 		return
 	}
 	t.finishing = true
+	move := t.move
 	m.work.Add(1)
 	go func() {
 		defer m.work.Done()
 		c, cancel := context.WithTimeout(ctx, finishTimeout)
 		defer cancel()
-		end, err := m.EndCommitter.CommitEnd(c, t.move, state, reason)
+		end, err := m.EndCommitter.CommitEnd(c, move, state, reason)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		t.finishing = false
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -159,6 +159,7 @@
 		if t == nil {
 			t = newTrack(move, now)
 		}
+		t.move.Order = move.Order // a store that has come back from a copy gives it another version
 		next.byRoute[move.Key()] = t
 		if move.Route == "" {
 			next.byPool[move.From], next.byPool[move.To] = t, t
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -316,6 +316,7 @@
 	var kept thconfig.Config
 	if s := f.current.Load(); s != nil {
 		kept = s.Tables.Config()
+		o.ContinueRollouts(&s.Tables)
 	}
 	if o.Config.Revision == 0 && o.ConfigErr == nil && kept.Revision == 0 {
 		f.Log.Info("no configuration yet", "version", o.Version)
