Write to a restored store again what it has lost

Cause: each write counted as done once the store had acknowledged it.

Change: when the generation of the store in effect rises, the coordinator of each ended rollout writes its end again (the store keeps one that it has), and each daemon its announcement and the departure of its server, spread over 2 s.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -46,16 +46,16 @@
 	Clock        clockwork.Clock
 	Log          hclog.Logger
 
-	started       time.Time
-	platform      *platform
-	node          *thmember.Node
-	replica       configReplica
-	mover         *thmove.Mover
-	balancer      *thbalance.Balancer
-	gate          thproxy.Gate
-	claimGuard    *thonce.Guard // nil without idempotency keys
-	serverMonitor serverMonitor
-	localHandler  http.Handler // serves the backend server's announcements or heartbeats
+	started      time.Time
+	platform     *platform
+	node         *thmember.Node
+	replica      configReplica
+	mover        *thmove.Mover
+	balancer     *thbalance.Balancer
+	gate         thproxy.Gate
+	claimGuard   *thonce.Guard // nil without idempotency keys
+	background   backgroundTask
+	localHandler http.Handler // serves the backend server's announcements or heartbeats
 	// readinessHandler serves the readiness address, if one is set.
 	readinessHandler http.Handler
 	admin            thadmin.Admin
@@ -92,8 +92,9 @@
 	Prepare(f func(*thsync.Snapshot))
 }
 
-// serverMonitor tracks the local backend server.
-type serverMonitor interface {
+// backgroundTask runs beside the other components: it tracks the local backend server, or
+// writes to a restored store.
+type backgroundTask interface {
 	Start(ctx context.Context) error
 	Stop()
 }
@@ -192,7 +193,7 @@
 	replica := &thsync.Replica{Platform: d.platform, Peers: d.node, Clock: d.Clock, Log: d.Log.Named("sync"), StartupSpread: s.Peers.Spread}
 	admission := &thadmit.Gate{Clock: d.Clock, MaxWait: s.Limits.Wait}
 	watcher := &thserver.Watcher{Clock: d.Clock, Log: d.Log.Named("server"), LocalAddresses: []netip.Addr{s.Listen.Local.Addr()}}
-	d.replica, d.gate, d.serverMonitor, d.localHandler = replica, gate{admission}, watcher, watcher
+	d.replica, d.gate, d.background, d.localHandler = replica, gate{admission}, watcher, watcher
 	d.admin.Poke, d.admin.ReceiveChange = replica.Poke, replica.Offer
 	d.mover.EndCommitter = moveCommitter{d.platform.Store, d.metrics}
 	d.claimGuard = &thonce.Guard{Store: d.platform.Store, Clock: d.Clock, Rate: float64(s.Limits.Claims)}
@@ -319,7 +320,7 @@
 
 func (d *Daemon) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.replica.Start, d.node.Start, d.mover.Start, d.serverMonitor.Start, d.listener.Start, d.serve,
+		d.replica.Start, d.node.Start, d.mover.Start, d.background.Start, d.listener.Start, d.serve,
 	}
 	for _, s := range steps {
 		if err := s(ctx); err != nil {
--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -59,6 +59,17 @@
 	}()
 }
 
+// storeAgain stores the departure of the current instance again, for a store that has come
+// back from a copy. A store that fails gets it with the next heartbeat.
+func (d *departureRecorder) storeAgain() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.recorded = ""
+	if e := d.registry.Current(); e != nil {
+		d.store(e)
+	}
+}
+
 // handleMessage handles a member's message about the departure of an instance.
 func (d *departureRecorder) handleMessage(from string, payload []byte) {
 	var m thwire.Departure
--- /dev/null
+++ b/thdaemon/restored.go
@@ -0,0 +1,132 @@
+package thdaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thmember"
+	"github.com/turmerichaven/turmerichaven/thsync"
+)
+
+// Limits of writing to a restored store.
+const (
+	restoreSpread     = 2 * time.Second // over which the daemons of the fleet spread their writes
+	restoreRetries    = 8
+	restoreRetryDelay = time.Second
+	restoreTimeout    = 3 * time.Second // of one attempt
+)
+
+// restoredStore writes to a store that has come back from a copy what this daemon wrote to
+// it before, as the copy may lack it: its announcement, the departure of its backend server,
+// and the ends of the rollouts that it coordinates.
+type restoredStore struct {
+	*Daemon
+
+	departures *departureRecorder
+	ends       interface {
+		CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (string, error)
+	}
+
+	generation uint64 // of the store; set by the first update
+	known      bool   // generation is set
+	stopped    chan struct{}
+	work       sync.WaitGroup
+}
+
+// Start does nothing: update starts the writes.
+func (r *restoredStore) Start(context.Context) error { return nil }
+
+// Stop ends all writes and waits for them. No update may follow.
+func (r *restoredStore) Stop() {
+	close(r.stopped)
+	r.work.Wait()
+}
+
+// update compares the generation of the store with that of the previous configuration.
+func (r *restoredStore) update(s *thsync.Snapshot) {
+	generation := thconfig.Generation(s.Tables.Version)
+	restored := r.known && generation > r.generation
+	r.generation, r.known = generation, true
+	if !restored {
+		return
+	}
+	r.Log.Warn("writing to the restored store again", "generation", generation, "version", thconfig.VersionText(s.Tables.Version))
+	ends := r.coordinatedEnds(&s.Tables)
+	r.work.Go(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() {
+			select {
+			case <-r.stopped:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		r.writeAgain(ctx, ends)
+	})
+}
+
+// coordinatedEnds returns the rollouts that have ended and that this daemon coordinates, with
+// the state in which they ended.
+func (r *restoredStore) coordinatedEnds(t *thconfig.Tables) []thconfig.Move {
+	ended := map[string]string{}
+	for _, state := range r.node.MoveStates() {
+		ended[state.Move] = state.End
+	}
+	self, live := r.node.Self().Name, membership{r.node}.Live()
+	var ends []thconfig.Move
+	for _, m := range t.Moves {
+		if m.State == thconfig.MoveRunning {
+			m.State = ended[m.Name]
+		}
+		first := thmember.Rendezvous("move/"+m.Name, live, 1)
+		if m.Order > 0 && m.State != "" && len(first) > 0 && first[0].Name == self {
+			ends = append(ends, m)
+		}
+	}
+	return ends
+}
+
+func (r *restoredStore) writeAgain(ctx context.Context, ends []thconfig.Move) {
+	for _, m := range ends {
+		r.commitEnd(ctx, m)
+	}
+	if !r.wait(ctx, rand.N(restoreSpread)) {
+		return
+	}
+	r.announcer.renewNow()
+	r.departures.storeAgain()
+}
+
+// commitEnd writes the end of a rollout; the store keeps one that it has.
+func (r *restoredStore) commitEnd(ctx context.Context, m thconfig.Move) {
+	for range restoreRetries {
+		attempt, cancel := context.WithTimeout(ctx, restoreTimeout)
+		end, err := r.ends.CommitEnd(attempt, m, m.State, "")
+		cancel()
+		if err == nil {
+			r.Log.Info("end of move committed again", "move", m.Name, "state", end)
+			return
+		}
+		r.Log.Warn("end of move not committed again", "move", m.Name, "state", m.State, "error", err)
+		if therror.Is(err, therror.Conflict) || !r.wait(ctx, restoreRetryDelay) {
+			return // the order has been replaced, or the daemon stops
+		}
+	}
+}
+
+// wait waits for a time and returns false if the daemon stops meanwhile.
+func (r *restoredStore) wait(ctx context.Context, d time.Duration) bool {
+	t := r.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.Chan():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -30,7 +30,11 @@
 	}
 	scheduler := &thadmit.Scheduler{Clock: d.Clock}
 	departures := &departureRecorder{Daemon: d, registry: registry}
-	d.replica, d.gate, d.serverMonitor = follower, schedulerGate{scheduler}, noopMonitor{}
+	restored := &restoredStore{
+		Daemon: d, departures: departures, ends: rolloutReporter{d.platform.rows}, stopped: make(chan struct{}),
+	}
+	// The backend server sends heartbeats by itself and needs no monitor.
+	d.replica, d.gate, d.background = follower, schedulerGate{scheduler}, restored
 	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat), rowplatform.ReadinessHandler(d.notReadyReasons)
 	d.mover.EndCommitter = rolloutReporter{d.platform.rows}
 	d.target.Headers, d.transport.Headers = rowplatform.Headers(), rowplatform.Headers()
@@ -48,6 +52,7 @@
 		Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window, Clock: d.Clock,
 		Daemons: func() int { return len(d.node.View().Alive()) },
 	}
+	d.replica.Watch(restored.update)
 	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler, departures: departures}
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
@@ -99,16 +104,6 @@
 	}
 }
 
-// noopMonitor is the serverMonitor of a platform of kind rows, where the backend
-// server sends heartbeats by itself.
-type noopMonitor struct{}
-
-// Start does nothing.
-func (noopMonitor) Start(context.Context) error { return nil }
-
-// Stop does nothing.
-func (noopMonitor) Stop() {}
-
 // schedulerGate adapts a Scheduler to the target.
 type schedulerGate struct{ *thadmit.Scheduler }
 
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -97,7 +97,8 @@
 // daemon beside it, which has forgotten the limit, while the other daemons know it.
 func TestStatedLimitIsKeptThroughRestart(t *testing.T) {
 	const limit, slots = 2, 24
-	h := startHostedFleet(t, 3, slots, 300*time.Millisecond)
+	h := &hostedFleet{t: t, size: 3, slots: slots, processingTime: 300 * time.Millisecond}
+	h.startNodes()
 	h.configure(1)
 	h.waitServing()
 	limited := h.nodes[0]
--- a/thproof/restored_test.go
+++ b/thproof/restored_test.go
@@ -1,6 +1,7 @@
 package thproof
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -75,3 +76,70 @@
 	time.Sleep(applyBound)
 	h.requireServed("later", 0)
 }
+
+// Guards against a rollout that runs again, and whose end the operator does not see, after
+// the store has come back from a copy without its end; also where the order had to be
+// written again and has another version.
+func TestEndOfRolloutSurvivesRestore(t *testing.T) {
+	const order = `{"service":"page","target":"v2","duration_s":6}`
+	for _, lost := range []bool{false, true} { // the order is lost too
+		t.Run(fmt.Sprintf("orderLost=%v", lost), func(t *testing.T) {
+			h := &hostedFleet{t: t, size: 3, newVersions: 1, slots: 20, processingTime: 5 * time.Millisecond}
+			h.startNodes()
+			h.configure(1)
+			h.waitServing()
+			c := h.store.Copy()
+			h.store.Put("op", "", "evacuate/elsewhere", []byte(`{}`)) // the order's version is given out again
+			h.store.Put("op", "", "rollout/page", []byte(order))
+			if !lost {
+				c = h.store.Copy()
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var traffic randomTraffic
+			traffic.start(ctx, h.nodes, 150)
+			completed := func() bool {
+				row, found := h.store.Row("status", "", "rollout/page")
+				return found && string(row.Value) == `{"state":"completed","target":"v2"}`
+			}
+			waitUntil(t, "the rollout is completed", completed)
+			cancel()
+			traffic.clients.Wait()
+			h.restore(c, time.Second, func() {
+				if lost {
+					h.store.Put("op", "", "rollout/page", []byte(order))
+				}
+			})
+			waitUntil(t, "the end is written again", completed)
+			assert.Equal(t, h.countServed(h.nodes[0], "old")+h.countServed(h.nodes[1], "old"), 0)
+			h.configure(5, "later")
+			h.requireServed("later", applyBound)
+			assert.Equal(t, h.countServed(h.nodes[0], "later")+h.countServed(h.nodes[1], "later"), 0)
+		})
+	}
+}
+
+// Guards against an announcement and a departure that are lost with the store's latest rows:
+// daemons that start later would not find the others, and would use a server that has left.
+func TestDaemonsWriteToRestoredStoreAgain(t *testing.T) {
+	h := newHostedFleet(t, 2)
+	c := h.store.Copy() // empty
+	h.configure(1)
+	h.waitServing()
+	n := h.nodes[1]
+	n.setState("draining")
+	departed := func() bool {
+		_, found := h.store.Row("turmerichaven", "left", n.instance.ID)
+		return found
+	}
+	waitUntil(t, "the departure is stored", departed)
+	n.setState("")
+	assert.NilError(t, n.instance.Deregister())
+	h.restore(c, time.Second, func() { h.configure(1) })
+	waitUntil(t, "the departure is stored again", departed)
+	for _, o := range h.nodes {
+		waitUntil(t, o.name+" is announced again", func() bool {
+			_, found := h.store.Row("turmerichaven", "member", o.name)
+			return found
+		})
+	}
+}
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -31,6 +31,8 @@
 	server *httptest.Server
 	nodes  []*hostedNode
 
+	newVersions    int           // number of the last backend servers that are of version v2
+	size           int           // number of nodes
 	slots          int           // of each backend server
 	processingTime time.Duration // of a request
 }
@@ -58,15 +60,26 @@
 // newHostedFleet starts the store and the nodes. Daemons are killed when the test ends,
 // and their logs are printed if it failed.
 func newHostedFleet(t *testing.T, nodes int) *hostedFleet {
-	return startHostedFleet(t, nodes, 4, 5*time.Millisecond)
+	h := &hostedFleet{t: t, size: nodes, slots: 4, processingTime: 5 * time.Millisecond}
+	h.startNodes()
+	return h
 }
 
-// startHostedFleet is newHostedFleet with the properties of the backend servers.
-func startHostedFleet(t *testing.T, nodes, slots int, processingTime time.Duration) *hostedFleet {
-	h := &hostedFleet{t: t, dir: t.TempDir(), store: &thstandin.RowStore{}, slots: slots, processingTime: processingTime}
+// versionOf returns the version of the backend server of node i.
+func (h *hostedFleet) versionOf(i int) string {
+	if i > h.size-h.newVersions {
+		return "v2"
+	}
+	return "v1"
+}
+
+// startNodes starts the store and the nodes.
+func (h *hostedFleet) startNodes() {
+	t := h.t
+	h.dir, h.store = t.TempDir(), &thstandin.RowStore{}
 	h.server = httptest.NewServer(h.store)
 	t.Cleanup(h.server.CloseClientConnections)
-	for i := range nodes {
+	for i := range h.size {
 		h.add(i + 1)
 	}
 	t.Cleanup(func() {
@@ -78,7 +91,6 @@
 			}
 		}
 	})
-	return h
 }
 
 // add starts the daemon and the backend server of node i, in a zone of their own.
@@ -94,7 +106,7 @@
 		strings.TrimPrefix(h.server.URL, "http://"), at(hostedServerPort))
 	assert.NilError(h.t, os.WriteFile(n.settings, []byte(content), 0o600))
 	n.instance = &thstandin.Instance{
-		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: "v1", Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
+		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: h.versionOf(i), Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
 		Address: at(hostedServerPort), ControlAddress: at(hostedControlPort), ProcessingTime: h.processingTime, StartTime: time.Now(),
 	}
 	l, err := net.Listen("tcp", at(hostedServerPort))
