Send a repeated request on a new connection

Cause: responses are matched by the id of the request, and a repeat by the ingress has the id of the earlier attempt. With one usable server in the pool the repeat reaches the same server, on the same connection.

Change: the target sends repeats, and nested calls of a repeated run, on a new connection. Repeats are within the fleet's budget, so this costs few connections.

Looked at elsewhere: a copy that arrives while the connection is idle closes it (TestDirectDropsConnectionWithExtraBytes); one before the response to another request is skipped by its id (TestDirectSkipsStrayAnswers); clients' own repeats have ids of their own.

--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -56,6 +56,16 @@
 	idle      []*directConn // most recently used last
 }
 
+// newConnectionKey is the context key of withNewConnection.
+type newConnectionKey struct{}
+
+// withNewConnection makes a DirectTransport send the request on a new connection. A
+// repeated request needs one: it has the ID of the earlier attempt, so a second copy of
+// the response to that attempt could not be told from its own.
+func withNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
 // directConn is a connection that carries at most one request at a time.
 type directConn struct {
 	net.Conn
@@ -143,8 +153,11 @@
 }
 
 // getConn returns an idle connection that is open and has no unread input, or a
-// new one.
+// new one. It always returns a new one for a context of withNewConnection.
 func (d *DirectTransport) getConn(ctx context.Context, address string) (*directConn, error) {
+	if ctx.Value(newConnectionKey{}) != nil {
+		return d.connect(ctx, address)
+	}
 	now := thclock.OrSystem(d.Clock).Now()
 	for {
 		d.mutex.Lock()
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -205,7 +205,11 @@
 		r.Header[headersOrDefault(t.Headers).Deadline] = []string{formatMilliseconds(left)}
 	}
 	defer t.ActiveCalls.add(r.Header.Get(headersOrDefault(t.Headers).RequestID), c.Open())()
-	response, err := t.Transport.RoundTrip(r.WithContext(c.Context()))
+	ctx := c.Context()
+	if c.Open().Again {
+		ctx = withNewConnection(ctx)
+	}
+	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	latency = max(clock.Since(start), 1)
 	sample = latency
 	if err != nil {
