Refuse late requests that a stopping daemon cannot finish

Cause: a stopping daemon knew two states for callers, accepting and closed connections. What arrives on a connection that an earlier request keeps open is read until the end, whatever time is left.

Change: from the end of the notice on, the ingress answers a request whose deadline is after the end of the daemon with 'not run' at once. Shorter requests are served, and nested calls always: refusing one wastes its parent.

Ruled out: refusing from SIGTERM on, since callers learn of the stop only after two failed probes; going by the usual time of the route, which does not bound a single request.

Before: the connection ends without a response. After: 503 with Retry-After, and the request has not run.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -75,6 +75,7 @@
 	departed         departedInstances
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
+	endsAt           atomic.Int64 // when a stopping daemon ends, in ns since 1970; zero until the end of the notice
 	zoneOut          atomic.Bool
 	failed           chan error
 	work             sync.WaitGroup
@@ -239,7 +240,7 @@
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
-		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"),
+		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
 	}
 }
 
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -83,6 +83,16 @@
 	return max(s.Limit-s.Notice-shutdownMargin, 0)
 }
 
+// timeLeft returns the time until the end of a stopping daemon. It returns false until the
+// end of the notice: by then callers know that the daemon stops, and few calls still come.
+func (d *Daemon) timeLeft() (time.Duration, bool) {
+	end := d.endsAt.Load()
+	if end == 0 {
+		return 0, false
+	}
+	return time.Unix(0, end).Sub(d.Clock.Now()), true
+}
+
 // stop drains the daemon: it notifies the fleet, waits for the notice to spread,
 // and then waits up to gracePeriod for calls in progress to complete.
 func (d *Daemon) stop(ctx context.Context) {
@@ -94,6 +104,7 @@
 	// A store that does not respond must not shorten the time for the calls.
 	d.work.Go(func() { d.announcer.withdraw(ctx) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
+	d.endsAt.Store(d.Clock.Now().Add(gracePeriod(d.Settings.Stop)).UnixNano())
 	ctx, cancel := context.WithTimeout(ctx, gracePeriod(d.Settings.Stop))
 	defer cancel()
 	if err := errors.Join(d.ingressServer.Shutdown(ctx), d.http2Server.Shutdown(ctx)); err != nil {
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -35,6 +35,7 @@
 	size           int           // number of nodes
 	slots          int           // of each backend server
 	processingTime time.Duration // of a request
+	routeTimeout   time.Duration // of the routes view and book; one second when shorter
 }
 
 // hostedNode is a daemon process and the stand-in of its backend server.
@@ -181,8 +182,9 @@
 // configure writes a configuration with the routes view and book and an additional route
 // for each name in extra.
 func (h *hostedFleet) configure(version int, extra ...string) {
-	rules := `{"name":"view","kind":"safe","target_latency_s":0.5,"priority":2,"match":{"prefix":"/view/"},"action":{"service":"page","timeout_s":1,"max_attempts":2}},` +
-		`{"name":"book","kind":"unsafe","target_latency_s":0.5,"priority":1,"match":{"prefix":"/book/"},"action":{"service":"page","timeout_s":1,"max_attempts":2}}`
+	timeout := max(h.routeTimeout, time.Second).Seconds()
+	rules := fmt.Sprintf(`{"name":"view","kind":"safe","target_latency_s":0.5,"priority":2,"match":{"prefix":"/view/"},"action":{"service":"page","timeout_s":%[1]v,"max_attempts":2}},`+
+		`{"name":"book","kind":"unsafe","target_latency_s":0.5,"priority":1,"match":{"prefix":"/book/"},"action":{"service":"page","timeout_s":%[1]v,"max_attempts":2}}`, timeout)
 	for _, e := range extra {
 		rules += fmt.Sprintf(`,{"name":"%s","kind":"safe","priority":2,"match":{"prefix":"/%s/"},"action":{"service":"page","timeout_s":1,"max_attempts":1}}`, e, e)
 	}
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -108,13 +108,16 @@
 // Ingress accepts calls over HTTP and proxies them to backend servers. The
 // exported fields must be set before the first call.
 type Ingress struct {
-	Self         string // name of this daemon
-	Router       Router
-	Mover        Mover // nil without moves
-	Balancer     Balancer
-	Dialer       Dialer
-	Local        *Target      // target of the local backend server; nil sends every call through Dialer
-	Ready        func() bool  // nil means always ready
+	Self     string // name of this daemon
+	Router   Router
+	Mover    Mover // nil without moves
+	Balancer Balancer
+	Dialer   Dialer
+	Local    *Target     // target of the local backend server; nil sends every call through Dialer
+	Ready    func() bool // nil means always ready
+	// TimeLeft returns the time until this daemon ends; false while it does not stop, or
+	// still accepts all calls. It may be nil.
+	TimeLeft     func() (time.Duration, bool)
 	Metrics      Metrics      // nil disables metrics
 	Headers      *Headers     // nil means the default names
 	LocalService string       // service of the local backend server, sent in Headers.Caller
@@ -193,6 +196,9 @@
 		c.ctx = ctx
 		defer c.body.stop()
 		if err = c.waitTurn(); err == nil {
+			err = c.checkTimeLeft()
+		}
+		if err == nil {
 			err = c.runAttempts()
 		}
 	}
@@ -219,6 +225,19 @@
 	}
 }
 
+// checkTimeLeft rejects a call whose deadline is after the end of the stopping daemon,
+// which would cut it. Nested calls are accepted: a rejection would waste their parent.
+func (c *call) checkTimeLeft() error {
+	if c.TimeLeft == nil || c.parent != nil {
+		return nil
+	}
+	left, stopping := c.TimeLeft()
+	if deadline, ok := c.ctx.Deadline(); !stopping || ok && time.Until(deadline) <= left {
+		return nil
+	}
+	return therror.New(therror.Leaving, "daemon stops in %s, before the deadline of the call", left)
+}
+
 // prepare matches the request to a route and fills in the open frame.
 func (c *call) prepare() error {
 	if c.Ready != nil && !c.Ready() {
--- /dev/null
+++ b/thproxy/stopping_test.go
@@ -0,0 +1,44 @@
+package thproxy
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thwire"
+)
+
+// Guards against a stopping daemon that sends a late request to a backend server and then
+// ends before the response, and against one that refuses what it can still serve.
+func TestStoppingIngressRefusesWhatItCannotFinish(t *testing.T) {
+	const left = time.Second // until the daemon ends
+	var runs atomic.Int32
+	m := newMesh(t, nonIdempotentRoute, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { runs.Add(1) }))
+	m.ingress.Headers = &Headers{RequestID: testIDHeader, Deadline: HeaderDeadline, ChildSeparator: "."}
+	m.ingress.ActiveCalls = &ActiveCalls{}
+	stopping := true
+	m.ingress.TimeLeft = func() (time.Duration, bool) { return left, stopping }
+	send := func(id, deadline string) *http.Response {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, m.front.URL+"/x", nil)
+		assert.NilError(t, err)
+		request.Header.Set(testIDHeader, id)
+		request.Header.Set(HeaderDeadline, deadline)
+		response, err := m.client.Do(request)
+		assert.NilError(t, err)
+		response.Body.Close()
+		return response
+	}
+	late := send("a", "2000")
+	assert.Equal(t, late.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, late.Header.Get("Retry-After") != "")
+	assert.Equal(t, runs.Load(), int32(0))
+	assert.Equal(t, send("b", "900").StatusCode, http.StatusOK)
+	// A nested call of a request in progress is not refused: that would waste the request.
+	defer m.ingress.ActiveCalls.add("c", &thwire.Open{})()
+	assert.Equal(t, send("c.1", "2000").StatusCode, http.StatusOK)
+	stopping = false
+	assert.Equal(t, send("d", "2000").StatusCode, http.StatusOK)
+}
