--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -288,7 +288,7 @@
 	d.replica.Watch(func(s *thsync.Snapshot) {
 		zone, found := s.Tables.Zone(d.Settings.Daemon.Zone)
 		if out := found && zone.Out; d.zoneOut.Swap(out) != out {
-			d.Log.Info("zone of this daemon changed", "out", out, "version", s.Tables.Version)
+			d.Log.Info("zone of this daemon changed", "out", out, "version", thconfig.VersionText(s.Tables.Version))
 		}
 		d.node.KeepMoveStates(func(move string) bool {
 			m, found := s.Tables.Move(move)
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -201,7 +201,7 @@
 		if f.awaitReader(ctx) {
 			// The changes missed meanwhile may be longer than the current orders.
 			f.Source.Reset()
-			f.Log.Info("reading the configuration source", "version", f.version(), "duty", f.IsReader())
+			f.Log.Info("reading the configuration source", "version", thconfig.VersionText(f.version()), "duty", f.IsReader())
 		}
 		o, err := f.Source.Next(ctx, longPollTimeout)
 		switch {
@@ -213,7 +213,7 @@
 			}
 			if kind := therror.KindOf(err); kind != lastKind {
 				lastKind = kind
-				f.Log.Warn("configuration source lost", "version", f.version(), "since", f.Clock.Since(lostSince), "kind", kind, "error", err)
+				f.Log.Warn("configuration source lost", "version", thconfig.VersionText(f.version()), "since", f.Clock.Since(lostSince), "kind", kind, "error", err)
 			}
 			f.sourceLost.Store(true)
 			failures++
@@ -225,7 +225,7 @@
 			backoff = min(2*backoff, maxRetryDelay)
 			continue
 		case !lostSince.IsZero():
-			f.Log.Info("configuration source available again", "version", f.version(), "after", f.Clock.Since(lostSince))
+			f.Log.Info("configuration source available again", "version", thconfig.VersionText(f.version()), "after", f.Clock.Since(lostSince))
 			lostSince, lastKind = time.Time{}, ""
 		}
 		f.sourceLost.Store(false)
@@ -257,8 +257,8 @@
 		return true
 	}
 	f.settledGeneration = generation
-	f.Log.Warn("configuration source has come back from a copy", "generation", generation, "version", o.Version,
-		"number", o.Config.Revision, "kept", f.version())
+	f.Log.Warn("configuration source has come back from a copy", "generation", generation, "version", thconfig.VersionText(o.Version),
+		"number", o.Config.Revision, "kept", thconfig.VersionText(f.version()))
 	return false
 }
 
@@ -319,7 +319,7 @@
 		o.ContinueRollouts(&s.Tables)
 	}
 	if o.Config.Revision == 0 && o.ConfigErr == nil && kept.Revision == 0 {
-		f.Log.Info("no configuration yet", "version", o.Version)
+		f.Log.Info("no configuration yet", "version", thconfig.VersionText(o.Version))
 		return
 	}
 	err := o.ConfigErr
@@ -331,7 +331,7 @@
 	}
 	f.lastErr = err
 	if err != nil {
-		f.Log.Error("configuration refused", "version", o.Version, "number", o.Config.Revision, "kept", kept.Revision, "error", err)
+		f.Log.Error("configuration refused", "version", thconfig.VersionText(o.Version), "number", o.Config.Revision, "kept", kept.Revision, "error", err)
 		if kept.Revision == 0 {
 			return
 		}
@@ -351,14 +351,14 @@
 			return
 		case t.Revision < s.Tables.Revision:
 			// Of a daemon that has started with a source that had come back from a copy.
-			f.Log.Error("configuration refused", "version", t.Version, "from", from, "number", t.Revision, "kept", s.Tables.Revision)
+			f.Log.Error("configuration refused", "version", thconfig.VersionText(t.Version), "from", from, "number", t.Revision, "kept", s.Tables.Revision)
 			return
 		}
 	}
 	r, err := throute.CompilePrefixes(t)
 	if err != nil {
 		f.lastErr = err
-		f.Log.Error("configuration refused", "version", t.Version, "from", from, "error", err)
+		f.Log.Error("configuration refused", "version", thconfig.VersionText(t.Version), "from", from, "error", err)
 		return
 	}
 	s := &Snapshot{Tables: t, Digest: thconfig.Digest(t), Router: r}
@@ -370,7 +370,7 @@
 	}
 	f.current.Store(s)
 	f.fetchAll = false
-	f.Log.Info("configuration in effect", "version", t.Version, "from", from, "routes", len(t.Routes), "moves", len(t.Moves))
+	f.Log.Info("configuration in effect", "version", thconfig.VersionText(t.Version), "from", from, "routes", len(t.Routes), "moves", len(t.Moves))
 	f.Peers.SetHeld(t.Version, s.Digest)
 	n := Status{Version: t.Version, Digest: s.Digest, Highest: t.Version, Ready: true, Polling: true}
 	if f.lastErr != nil {
@@ -414,7 +414,7 @@
 		return
 	}
 	if f.replacedSince.CompareAndSwap(0, f.Clock.Now().UnixNano()) {
-		f.Log.Warn("others read the configuration source in place of this daemon", "version", f.version())
+		f.Log.Warn("others read the configuration source in place of this daemon", "version", thconfig.VersionText(f.version()))
 		f.Peers.SetSourceDisconnected(true)
 	}
 }
--- a/thsync/tables.go
+++ b/thsync/tables.go
@@ -173,7 +173,7 @@
 	}
 	if d := thconfig.Digest(t); string(d) != string(m.Digest) {
 		f.fetchAll = true
-		f.Log.Warn("tables with a wrong digest", "peer", from, "version", t.Version, "base", m.Base)
+		f.Log.Warn("tables with a wrong digest", "peer", from, "version", thconfig.VersionText(t.Version), "base", thconfig.VersionText(m.Base))
 		return
 	}
 	f.swap(t, from)
