Ask other daemons for a change when one has not replied

Cause: the reader of a zone announces that it holds a change and is killed. The other daemons of its zone ask it, as a member of their own zone, again and again until the failure detector declares it dead, while other zones hold the change.

Change: a member that has not replied within the time for a reply is asked again only after all others; the zones of the others are then asked without delay.

Before: TestFollowerAsksOtherZonesWhenItsReaderIsSilent asked a, a, a, a, a in 2 s. After: a and then c and d.

--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,6 +92,7 @@
 	behindSince   time.Time // since when another daemon is known to hold a version newer than behindVersion
 	behindVersion uint64    // version in effect here at behindSince
 	lastFetch     time.Time
+	askedPeers    []string // members asked since behindSince, without effect so far
 	swaps         swapRecords
 	fetchAll      bool            // the next fetch requests all routes
 	partial       thconfig.Tables // tables received so far, when they arrive in several batches
@@ -439,7 +441,8 @@
 // peerToFetchFrom returns a random live member that holds a newer version, or "" if
 // there is none, a fetch is in progress or it is too early. Members of the own zone
 // are asked immediately, others after crossZoneDelay except by the zone fetcher. A
-// reader asks only for versions that it has not read within Apply.
+// reader asks only for versions that it has not read within Apply. A member that has not
+// replied is asked again only after all others: it may be dead without being known to be.
 func (f *Follower) peerToFetchFrom() string {
 	v := f.Peers.View()
 	if v == nil {
@@ -467,20 +470,32 @@
 		return ""
 	}
 	if f.behindSince.IsZero() || f.behindVersion != own {
-		f.behindSince, f.behindVersion = now, own
+		f.behindSince, f.behindVersion, f.askedPeers = now, own, nil
 		signal(f.newerVersion)
 	}
 	if now.Sub(f.lastFetch) < fetchTimeout {
 		return ""
 	}
+	if len(f.withoutAsked(newer)) == 0 {
+		f.askedPeers = nil // none has replied in time: start over
+	}
+	hasAsked := len(f.askedPeers) > 0
+	newer, sameZone = f.withoutAsked(newer), f.withoutAsked(sameZone)
 	switch behindFor := now.Sub(f.behindSince); {
 	case canRead && behindFor < f.Apply, own == 0 && behindFor < crossZoneDelay:
 		return ""
 	case len(sameZone) > 0:
 		newer = sameZone
-	case !canRead && !role.zoneFetcher && behindFor < crossZoneDelay:
+	case !canRead && !role.zoneFetcher && !hasAsked && behindFor < crossZoneDelay:
 		return ""
 	}
 	f.lastFetch = now
-	return newer[rand.IntN(len(newer))]
+	peer := newer[rand.IntN(len(newer))]
+	f.askedPeers = append(f.askedPeers, peer)
+	return peer
+}
+
+// withoutAsked returns the members that are not in askedPeers. The caller holds the mutex.
+func (f *Follower) withoutAsked(members []string) []string {
+	return slices.DeleteFunc(slices.Clone(members), func(name string) bool { return slices.Contains(f.askedPeers, name) })
 }
--- a/thsync/follow_test.go
+++ b/thsync/follow_test.go
@@ -50,18 +50,21 @@
 	held         map[string]thwire.HeldVersion
 	dead         map[string]bool
 	disconnected map[string]bool
+	zones        map[string]string // all in one zone when nil
 	handlers     map[thwire.Type]thmember.Handler
 	sent         int
 }
 
-func (p *fakePeers) Self() thwire.Member { return thwire.Member{Name: p.name} }
+func (p *fakePeers) Self() thwire.Member {
+	return thwire.Member{Name: p.name, Zone: p.zones[p.name]}
+}
 
 func (p *fakePeers) View() *thmember.View {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	v := &thmember.View{Held: map[string]thwire.HeldVersion{}}
 	for n := range p.all {
-		m := thwire.Member{Name: n, Blind: p.disconnected[n]}
+		m := thwire.Member{Name: n, Zone: p.zones[n], Blind: p.disconnected[n]}
 		if p.dead[n] {
 			m.State = thwire.MemberDead
 		}
@@ -407,3 +410,29 @@
 		waitFor(t, "no read after a change", func() bool { return sources[0].resets.Load() > before })
 	}
 }
+
+// Pattern: the reader of a zone is killed right after it has announced a change. Guards
+// against the other daemons of its zone asking it for the change until the failure detector
+// has declared it dead, while other zones hold the change.
+func TestFollowerAsksOtherZonesWhenItsReaderIsSilent(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var mutex sync.Mutex
+	p := &fakePeers{
+		name: "b", mutex: &mutex, all: map[string]*fakePeers{"a": nil, "b": nil, "c": nil, "d": nil},
+		held:  map[string]thwire.HeldVersion{"a": {Version: 3}, "b": {Version: 2}, "c": {Version: 3}, "d": {Version: 3}},
+		zones: map[string]string{"a": "north", "b": "north", "c": "south", "d": "south"},
+	}
+	f := &Follower{Peers: p, Clock: clock, Apply: 2 * time.Second}
+	f.sourceLost.Store(true) // this daemon does not read the change itself
+	f.current.Store(&Snapshot{Tables: thconfig.Tables{Version: 2}})
+	asked := []string{f.peerToFetchFrom()}
+	for range int(f.Apply / compareInterval) {
+		clock.Advance(compareInterval)
+		if peer := f.peerToFetchFrom(); peer != "" {
+			asked = append(asked, peer)
+		}
+	}
+	assert.Equal(t, asked[0], "a")
+	others := map[string]bool{asked[1]: true, asked[2]: true}
+	assert.Assert(t, others["c"] && others["d"], "%v", asked)
+}
