Test a service whose servers all state limits

Guards against servers that get more than they state, or far less, and against refusals that are slow or name no time to come back.

--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -48,8 +48,10 @@
 
 // randomTraffic sends calls to random ones of some nodes, with exponential gaps, until ctx ends.
 type randomTraffic struct {
-	good, all atomic.Int64
-	clients   sync.WaitGroup
+	good, all      atomic.Int64
+	badRefusals    atomic.Int64 // neither a success nor "not run" with a time to come back
+	slowestRefusal atomic.Int64 // ns
+	clients        sync.WaitGroup
 }
 
 func (r *randomTraffic) start(ctx context.Context, nodes []*hostedNode, rate float64) {
@@ -59,11 +61,22 @@
 			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 			n := nodes[random.IntN(len(nodes))]
 			r.clients.Go(func() {
-				status, _, err := n.call("GET", "/view/x", fmt.Sprintf("random-%d", i), "")
+				start := time.Now()
+				response, err := n.send("GET", "/view/x", fmt.Sprintf("random-%d", i), "")
 				r.all.Add(1)
-				if err == nil && status == http.StatusOK {
+				if err != nil {
+					r.badRefusals.Add(1)
+					return
+				}
+				defer response.Body.Close()
+				if response.StatusCode == http.StatusOK {
 					r.good.Add(1)
+					return
+				}
+				if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+					r.badRefusals.Add(1)
 				}
+				r.slowestRefusal.Store(max(r.slowestRefusal.Load(), int64(time.Since(start))))
 			})
 		}
 	})
@@ -93,6 +106,38 @@
 	assert.Equal(t, traffic.good.Load(), traffic.all.Load())
 }
 
+// Guards against servers that get more than they state where no server of the service has
+// room for more, against refusals that are held back or name no time to come back, and
+// against servers that get far less than they state.
+func TestAllServersStateLimits(t *testing.T) {
+	const limit, rate = 7, 60
+	h := newHostedFleet(t, 3)
+	h.configure(1)
+	h.waitServing()
+	for _, n := range h.nodes {
+		n.instance.SetLimit(fmt.Sprint(limit))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	traffic := randomTraffic{}
+	traffic.start(ctx, h.nodes, rate)
+	binding := time.Now().Add(limitNotice)
+	time.Sleep(limitNotice + limitWindow + time.Second)
+	cancel()
+	traffic.clients.Wait()
+	served := 0
+	for _, n := range h.nodes {
+		most, total := mostWithin(n.instance.Arrivals(), binding, limitWindow)
+		assert.Assert(t, most <= allowedByLimit(limit), "%s: %d requests in %s, %d allowed", n.name, most, limitWindow, allowedByLimit(limit))
+		served += total
+	}
+	t.Logf("%d served in %s, %d of %d calls good", served, limitWindow+time.Second, traffic.good.Load(), traffic.all.Load())
+	assert.Assert(t, float64(served) >= 0.8*3*limit*limitWindow.Seconds(), "%d served", served)
+	assert.Equal(t, traffic.badRefusals.Load(), int64(0))
+	slowest := time.Duration(traffic.slowestRefusal.Load())
+	assert.Assert(t, slowest < time.Second, "a refusal took %s", slowest)
+}
+
 // Guards against a burst of requests at a server with a limit after a restart of the
 // daemon beside it, which has forgotten the limit, while the other daemons know it.
 func TestStatedLimitIsKeptThroughRestart(t *testing.T) {
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -162,21 +162,26 @@
 // call sends a request with a forged X-Caller-Service header to the daemon's ingress and
 // returns the response's status and body.
 func (n *hostedNode) call(method, path, id, body string) (int, string, error) {
-	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.ip(), hostedIngressPort, path), bytes.NewReader([]byte(body)))
+	response, err := n.send(method, path, id, body)
 	if err != nil {
 		return 0, "", err
 	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(got), err
+}
+
+// send is call that returns the response, whose body the caller closes.
+func (n *hostedNode) send(method, path, id, body string) (*http.Response, error) {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.ip(), hostedIngressPort, path), bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
 	request.Host = "site.example"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "2000")
 	request.Header.Set("X-Caller-Service", "forged")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	got, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(got), err
+	return http.DefaultClient.Do(request)
 }
 
 // configure writes a configuration with the routes view and book and an additional route
