--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -24,8 +24,9 @@
 	residualTimeFactor = 1.5
 	rateWindow         = time.Second // window in which dispatches to a cold server are counted
 	// pacingBurst is the time by which calls may be dispatched ahead of the even pace
-	// of a cold server or of one that states a limit. With a larger burst, calls delayed by slow connection setup
-	// would arrive together with later calls and exceed the server's rate.
+	// of a cold server or of one that states a limit. With a larger burst, calls delayed
+	// by slow connection setup would arrive together with later calls and exceed the
+	// server's rate.
 	pacingBurst = 125 * time.Millisecond
 	// deadlineFraction is the maximum fraction of the remaining time for waiting and
 	// serving without a latency objective: service times vary, and the response needs
--- a/thconfig/desired.go
+++ b/thconfig/desired.go
@@ -62,8 +62,7 @@
 }
 
 // addRollout adds the move of a rollout and, while it is running, the pool of its target.
-// It ignores a rollout of an
-// unknown service or without target.
+// It ignores a rollout of an unknown service or without target.
 func (t *Tables) addRollout(r Rollout) {
 	i := slices.IndexFunc(t.Pools, func(p Pool) bool { return p.Name == r.Service })
 	if i < 0 || r.Target == "" {
--- a/thproxy/stopping_test.go
+++ b/thproxy/stopping_test.go
@@ -16,7 +16,7 @@
 func TestStoppingIngressRefusesWhatItCannotFinish(t *testing.T) {
 	const left = time.Second // until the daemon ends
 	var runs atomic.Int32
-	m := newMesh(t, nonIdempotentRoute, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { runs.Add(1) }))
+	m := newMesh(t, nonIdempotentRoute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
 	m.ingress.Headers = &Headers{RequestID: testIDHeader, Deadline: HeaderDeadline, ChildSeparator: "."}
 	m.ingress.ActiveCalls = &ActiveCalls{}
 	stopping := true
