Record the departure of each process of an instance

Cause: a daemon stored the departure of an instance once. An instance that leaves, starts again under its id and leaves again has another start time; the store kept the first one, and after a restart of the daemon a late heartbeat of the second process put it to use again.

Before: TestDepartureOfEachProcessIsRecorded fails. After: passes; the departure is remembered by instance and start time.

--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -22,8 +22,8 @@
 	*Daemon
 
 	registry *thserver.Registry
-	mutex    sync.Mutex // guards recorded, and serialises the calls of the store
-	recorded string     // instance whose departure is stored
+	mutex    sync.Mutex       // guards recorded, and serialises the calls of the store
+	recorded thwire.Departure // stored last
 }
 
 // handleHeartbeat handles a heartbeat. It stores the departure of an instance before
@@ -64,7 +64,7 @@
 func (d *departureRecorder) storeAgain() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.recorded = ""
+	d.recorded = thwire.Departure{}
 	if e := d.registry.Current(); e != nil {
 		d.store(e)
 	}
@@ -84,7 +84,8 @@
 // store stores the departure of an instance that is leaving, unless it is stored
 // already; the mutex is held.
 func (d *departureRecorder) store(e *thserver.Entry) {
-	if !e.Leaving && !e.Deregistered || d.recorded == e.Instance {
+	departure := thwire.Departure{Instance: e.Instance, Born: e.StartTime.UnixMilli()}
+	if !e.Leaving && !e.Deregistered || d.recorded == departure {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
@@ -93,7 +94,7 @@
 		d.Log.Warn("failed to record the departure of an instance", "instance", e.Instance, "error", err)
 		return
 	}
-	d.recorded = e.Instance
+	d.recorded = departure
 }
 
 // lookUp marks an instance as left if its departure is stored.
--- a/thdaemon/departure_test.go
+++ b/thdaemon/departure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
@@ -60,3 +61,31 @@
 	entry := registry.Current()
 	assert.Assert(t, entry == nil || entry.Leaving || entry.Deregistered, "in use again: %+v", entry)
 }
+
+// Guards against a server that is in use again after a restart of its daemon, although its
+// end was acknowledged: it had left, started again under the same id, and left again.
+func TestDepartureOfEachProcessIsRecorded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &failingTable{}
+	address := netip.MustParseAddrPort("127.0.0.1:8084")
+	start := func() (*thserver.Registry, *departureRecorder) {
+		d := &Daemon{platform: &platform{Store: &thstore.Store{Table: table, Clock: clock}}}
+		d.Log = hclog.NewNullLogger()
+		registry := &thserver.Registry{Address: address, Clock: clock}
+		return registry, &departureRecorder{Daemon: d, registry: registry}
+	}
+	heartbeat := thserver.Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, StartTime: clock.Now()}
+	_, recorder := start()
+	for range 2 {
+		clock.Advance(time.Second)
+		heartbeat.StartTime, heartbeat.Sequence, heartbeat.Leaving = clock.Now(), 1, false
+		assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+		heartbeat.Sequence, heartbeat.Leaving = 2, true
+		assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	}
+	registry, recorder := start()
+	heartbeat.Sequence, heartbeat.Leaving = 1, false // sent before it left
+	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	entry := registry.Current()
+	assert.Assert(t, entry == nil || entry.Leaving || entry.Deregistered, "in use again: %+v", entry)
+}
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -225,8 +225,8 @@
 	Members []uint64 `msg:"m"` // hashes of name and incarnation
 }
 
-// Departure tells a daemon that a backend server instance has announced that it leaves,
-// before the daemon started.
+// Departure identifies a process of a backend server instance that has announced that it
+// leaves. It is sent to a daemon that has started since and does not know of it.
 type Departure struct {
 	Instance string `msg:"i"`
 	Born     int64  `msg:"o"` // ms since 1970
