Stop the writes to a restored store after the replica that starts them

No update of the replica may follow the stop of the component; the order of the stops did not ensure that. Found by reading; no failure was seen.

--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -132,7 +132,7 @@
 	d.sessions.close()
 	d.updater.stop()
 	d.dialer.Close()
-	for _, stop := range []func(){d.background.Stop, d.mover.Stop, d.replica.Stop, d.listener.Stop, d.node.Stop} {
+	for _, stop := range []func(){d.mover.Stop, d.replica.Stop, d.background.Stop, d.listener.Stop, d.node.Stop} {
 		stop()
 	}
 	for _, stop := range d.closers {
