Partition connections of the membership test whose dial is in progress

Cause: in the test, not in the product. partition closes the open connections; a dial that has passed the check of the sides before, and registers its connection after, joins the two sides for good.

Change: such a connection breaks at its next write. The check is as strict as before and the partition is complete.

--- a/thmember/node_test.go
+++ b/thmember/node_test.go
@@ -61,14 +61,42 @@
 	return n
 }
 
+var errPartitioned = therror.New(therror.Down, "partitioned")
+
 // dialFrom returns a Dial that fails for peers on another side.
 func (f *fleet) dialFrom(own *atomic.Int32) func(context.Context, netip.AddrPort, thwire.Hello) (net.Conn, error) {
 	return func(ctx context.Context, peer netip.AddrPort, h thwire.Hello) (net.Conn, error) {
-		if other, found := f.sideByPeer.Load(peer); found && other.(*atomic.Int32).Load() != own.Load() {
-			return nil, therror.New(therror.Down, "partitioned")
+		other, found := f.sideByPeer.Load(peer)
+		if !found {
+			return thwire.Dial(ctx, peer, h)
+		}
+		c := &sidedConn{own: own, other: other.(*atomic.Int32)}
+		if c.isPartitioned() {
+			return nil, errPartitioned
+		}
+		var err error
+		if c.Conn, err = thwire.Dial(ctx, peer, h); err != nil {
+			return nil, err
 		}
-		return thwire.Dial(ctx, peer, h)
+		return c, nil
+	}
+}
+
+// sidedConn is a connection that breaks when its ends are on different sides, also if
+// its dial was in progress when partition closed the connections.
+type sidedConn struct {
+	net.Conn
+	own, other *atomic.Int32
+}
+
+func (c *sidedConn) isPartitioned() bool { return c.own.Load() != c.other.Load() }
+
+func (c *sidedConn) Write(p []byte) (int, error) {
+	if c.isPartitioned() {
+		_ = c.Close()
+		return 0, errPartitioned
 	}
+	return c.Conn.Write(p)
 }
 
 func (f *fleet) kill(i int) {
