Keep a deregistration that reaches a daemon before any heartbeat

A deregistration names no start time, so it was recorded with none, and every heartbeat counted as later; without a current server it was not stored either.

Change: such a deregistration binds all processes that started before it arrived, and is stored.

Before: TestDeregistrationBindsBeforeTheFirstHeartbeat and TestDepartureOfUnknownServerIsRecorded fail. After: both pass.

--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -40,8 +40,15 @@
 	if err := d.registry.HandleHeartbeat(b); err != nil {
 		return err
 	}
-	if e := d.registry.Current(); e != nil && e.Instance == b.Instance {
+	switch e := d.registry.Current(); {
+	case e != nil && e.Instance == b.Instance:
 		d.store(e)
+	case b.Deregistered:
+		start := b.StartTime
+		if start.IsZero() {
+			start = d.Clock.Now() // as in the registry
+		}
+		d.record(b.Instance, start)
 	}
 	return nil
 }
@@ -84,14 +91,21 @@
 // store stores the departure of an instance that is leaving, unless it is stored
 // already; the mutex is held.
 func (d *departureRecorder) store(e *thserver.Entry) {
-	departure := thwire.Departure{Instance: e.Instance, Born: e.StartTime.UnixMilli()}
-	if !e.Leaving && !e.Deregistered || d.recorded == departure {
+	if e.Leaving || e.Deregistered {
+		d.record(e.Instance, e.StartTime)
+	}
+}
+
+// record stores a departure unless it is the one stored last; the mutex is held.
+func (d *departureRecorder) record(instance string, start time.Time) {
+	departure := thwire.Departure{Instance: instance, Born: start.UnixMilli()}
+	if d.recorded == departure {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
 	defer cancel()
-	if err := d.platform.RecordDeparture(ctx, e.Instance, e.StartTime); err != nil {
-		d.Log.Warn("failed to record the departure of an instance", "instance", e.Instance, "error", err)
+	if err := d.platform.RecordDeparture(ctx, instance, start); err != nil {
+		d.Log.Warn("failed to record the departure of an instance", "instance", instance, "error", err)
 		return
 	}
 	d.recorded = departure
--- a/thdaemon/departure_test.go
+++ b/thdaemon/departure_test.go
@@ -89,3 +89,24 @@
 	entry := registry.Current()
 	assert.Assert(t, entry == nil || entry.Leaving || entry.Deregistered, "in use again: %+v", entry)
 }
+
+// Guards against the departure of a server that deregisters before its daemon has got a
+// heartbeat since its start: a further restart would forget it.
+func TestDepartureOfUnknownServerIsRecorded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &failingTable{}
+	address := netip.MustParseAddrPort("127.0.0.1:8084")
+	start := func() (*thserver.Registry, *departureRecorder) {
+		d := &Daemon{platform: &platform{Store: &thstore.Store{Table: table, Clock: clock}}, Clock: clock}
+		d.Log = hclog.NewNullLogger()
+		registry := &thserver.Registry{Address: address, Clock: clock}
+		return registry, &departureRecorder{Daemon: d, registry: registry}
+	}
+	heartbeat := thserver.Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, Sequence: 1, StartTime: clock.Now()}
+	clock.Advance(time.Minute)
+	_, recorder := start()
+	assert.NilError(t, recorder.handleHeartbeat(thserver.Heartbeat{Instance: "i-1", Deregistered: true}))
+	registry, recorder := start()
+	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	assert.Assert(t, registry.Current() == nil, "in use again: %+v", registry.Current())
+}
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -173,6 +173,9 @@
 	now := thclock.OrSystem(g.Clock).Now()
 	c := g.current
 	same := c != nil && c.Instance == h.Instance
+	if h.Deregistered && h.StartTime.IsZero() && !same {
+		h.StartTime = now // a process that starts later is another one
+	}
 	if start, hasLeft := g.left[h.Instance]; hasLeft && !h.StartTime.After(start) && !h.Deregistered {
 		h.Leaving = true
 		if !same {
--- a/thserver/registry_test.go
+++ b/thserver/registry_test.go
@@ -122,3 +122,17 @@
 	assert.NilError(t, g.HandleHeartbeat(heartbeat))
 	assert.Assert(t, !g.Current().Leaving, "a new process of the instance is not leaving")
 }
+
+// Guards against a server that is in use although it has deregistered: its last message, which
+// names no start time, reached a daemon that had just started and knew no server, and a late
+// heartbeat followed.
+func TestDeregistrationBindsBeforeTheFirstHeartbeat(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(firstStart.Add(time.Minute))
+	g := &Registry{Address: serverAddress, Clock: clock}
+	assert.NilError(t, g.HandleHeartbeat(Heartbeat{Instance: "i-1", Deregistered: true}))
+	assert.NilError(t, g.HandleHeartbeat(heartbeat("i-1", 27, firstStart)))
+	assert.Assert(t, g.Current() == nil, "in use again: %+v", g.Current())
+	clock.Advance(time.Second)
+	assert.NilError(t, g.HandleHeartbeat(heartbeat("i-1", 1, clock.Now())))
+	assert.Assert(t, g.Current() != nil && !g.Current().Leaving, "a later process of the instance is another one")
+}
