--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -173,10 +173,10 @@
 	now := thclock.OrSystem(g.Clock).Now()
 	c := g.current
 	same := c != nil && c.Instance == h.Instance
-	if h.Deregistered && h.StartTime.IsZero() && !same {
-		h.StartTime = now // a process that starts later is another one
+	if !same {
+		h = h.withDepartureTime(now)
 	}
-	if start, hasLeft := g.left[h.Instance]; hasLeft && !h.StartTime.After(start) && !h.Deregistered {
+	if g.hasLeft(h) {
 		h.Leaving = true
 		if !same {
 			return c
@@ -208,6 +208,22 @@
 	return n
 }
 
+// hasLeft reports whether the process that sends a heartbeat is known to have left.
+func (g *Registry) hasLeft(h Heartbeat) bool {
+	start, found := g.left[h.Instance]
+	return found && !h.StartTime.After(start) && !h.Deregistered
+}
+
+// withDepartureTime returns a deregistration that names no start time with that of its
+// arrival, so that it binds all processes that started before. Other heartbeats are
+// returned as they are.
+func (h Heartbeat) withDepartureTime(now time.Time) Heartbeat {
+	if h.Deregistered && h.StartTime.IsZero() {
+		h.StartTime = now
+	}
+	return h
+}
+
 // recordLeft records that an instance has left, by its latest start time.
 func (g *Registry) recordLeft(h Heartbeat) {
 	if g.left == nil {
