Accept calls by newer tables than those of the target

What callers saw: after a completed rollout, a daemon that starts again answers every request for the service with 503 "backend server is page v2, not of pool page", until the operators write the next change.

Cause: the daemon beside the backend server checks the pool of a call by its own tables. The ingress has tables in which the rollout has ended and sends calls by the pool of the service; by the target's tables the rollout still runs, and that pool leaves out the new version. Class: a check that compares what two daemons know without asking whose knowledge is newer.

Change: the target checks the pool only by tables that are at least as new as those of the ingress. The instance that the ingress has chosen is checked as before, so no other backend server can get the call.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -250,13 +250,14 @@
 	return d.draining.Load() || d.zoneOut.Load() || d.replica.Current() == nil
 }
 
-func (d *Daemon) pool(name string) (*thconfig.Pool, bool) {
+// pool returns a pool of the tables in effect and their version.
+func (d *Daemon) pool(name string) (pool *thconfig.Pool, version uint64, found bool) {
 	s := d.replica.Current()
 	if s == nil {
-		return nil, false
+		return nil, 0, false
 	}
 	p, found := s.Tables.Pool(name)
-	return &p, found
+	return &p, s.Tables.Version, found
 }
 
 // subscribe connects the components that depend on each other's changes.
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -58,9 +58,10 @@
 	Server func() (thwire.Server, netip.AddrPort, bool)
 	// Closed reports whether the daemon drains or its zone is out; nil means never.
 	Closed func() bool
-	// Pool returns a pool of the current tables. Calls for a pool that does not hold
-	// the version of the backend server are rejected; nil skips the check.
-	Pool func(name string) (*thconfig.Pool, bool)
+	// Pool returns a pool of the current tables, and their version. Calls for a pool that
+	// does not hold the version of the backend server are rejected, unless the ingress has
+	// newer tables, in which the pool may hold it; nil skips the check.
+	Pool func(name string) (pool *thconfig.Pool, version uint64, found bool)
 	// OnDispatch is called before a call is sent to the backend server, and returns the
 	// observer of the call; it may be nil.
 	OnDispatch func(route, pool string, cold bool) CallObserver
@@ -126,7 +127,8 @@
 		return therror.New(therror.Leaving, "backend server drains")
 	}
 	if t.Pool != nil {
-		if p, ok := t.Pool(o.Pool); ok && !p.Matches(server.Service, server.Version) {
+		p, version, found := t.Pool(o.Pool)
+		if found && version >= o.Version && !p.Matches(server.Service, server.Version) {
 			return therror.New(therror.Unready, "backend server is %s %s, not of pool %s", server.Service, server.Version, o.Pool)
 		}
 	}
