Take the tables of another daemon before orders of a restored store

Cause: the name and the end of a rollout from before the loss are known to the other daemons only. The daemon that starts knows no tables, so it took the first read at once, with the rollout as a new one; its version is of the later generation, so the others fetched its tables and dropped the end.

Evidence: TestEndOfRolloutSurvivesRestoreAndRestart fails before with 503 at the second call; log: "configuration in effect version=1.5 from=node-1", "end of move committed move=page@v2#1.5" 4.5 s later. TestStartedFollowerKeepsEndAfterRestore fails before (page@v2#1.8 for page@v2#12).

Ruled out: correcting the tables at the receivers. The daemon that starts would keep the wrong ones until the next change.

Change: where the generation of the store is above zero, a daemon that starts first fetches the tables of another one, for one second at most and not where the other daemons start too.

--- a/thproof/restored_test.go
+++ b/thproof/restored_test.go
@@ -118,6 +118,44 @@
 	}
 }
 
+// Guards against a rollout that runs again in the whole fleet because a daemon has started
+// with a store that came back from a copy without its end. The old version's backend servers
+// may be gone by then.
+func TestEndOfRolloutSurvivesRestoreAndRestart(t *testing.T) {
+	h := &hostedFleet{t: t, size: 3, newVersions: 1, slots: 20, processingTime: 5 * time.Millisecond}
+	h.startNodes()
+	h.configure(1)
+	h.waitServing()
+	h.store.Put("op", "", "rollout/page", []byte(`{"service":"page","target":"v2","duration_s":6}`))
+	c := h.store.Copy()
+	ctx, cancel := context.WithCancel(t.Context())
+	var traffic randomTraffic
+	traffic.start(ctx, h.nodes, 150)
+	completed := func() bool {
+		row, found := h.store.Row("status", "", "rollout/page")
+		return found && string(row.Value) == `{"state":"completed","target":"v2"}`
+	}
+	waitUntil(t, "the rollout is completed", completed)
+	cancel()
+	traffic.clients.Wait()
+	for _, n := range h.nodes[:2] { // the old version's servers leave
+		n.setState("")
+		assert.NilError(t, n.instance.Deregister())
+	}
+	n := h.nodes[0]
+	h.restore(c, time.Second, func() {
+		n.daemon.Kill()
+		n.clearBootstrap(h)
+		n.start(h)
+	})
+	waitUntil(t, "the daemon is ready", n.isReady)
+	for end := time.Now().Add(applyBound); time.Now().Before(end); {
+		assert.Equal(t, h.countServed(h.nodes[2], fmt.Sprint("restored", time.Now().UnixNano())), 30)
+	}
+	waitUntil(t, "the end is written again", completed)
+	assert.Equal(t, h.countServed(h.nodes[2], "ended"), 30)
+}
+
 // Guards against an announcement and a departure that are lost with the store's latest rows:
 // daemons that start later would not find the others, and would use a server that has left.
 func TestDaemonsWriteToRestoredStoreAgain(t *testing.T) {
--- a/thsync/fetch.go
+++ b/thsync/fetch.go
@@ -43,6 +43,7 @@
 	hasAsked := len(f.askedPeers) > 0
 	newer, sameZone = f.withoutAsked(newer), f.withoutAsked(sameZone)
 	switch behindFor := now.Sub(f.behindSince); {
+	case f.needsPeerTables.Load():
 	case canRead && behindFor < f.Apply, own == 0 && behindFor < crossZoneDelay:
 		return ""
 	case len(sameZone) > 0:
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -43,6 +43,9 @@
 	// fetchTimeout is how long to wait for a reply before another member is asked.
 	// In this time a member sends maxSharedBytes to 20 others over a 10 Mbit/s link.
 	fetchTimeout = 500 * time.Millisecond
+	// startFetchTimeout is how long a daemon that starts waits for the tables of another
+	// one before it takes orders of a source that has come back from a copy.
+	startFetchTimeout = time.Second
 	// changePauseFraction is the fraction of Apply for which a reader pauses between a
 	// change and the next request, so that one call returns several changes in quick
 	// succession. The rest of Apply is for the distribution from the readers to the
@@ -79,6 +82,7 @@
 	cachedRole        atomic.Pointer[role]
 	settledGeneration uint64        // generation of the source of which orders may take effect; used by readSource only
 	sourceLost        atomic.Bool   // the last request to the source failed
+	needsPeerTables   atomic.Bool   // this daemon starts and waits for the tables of another one
 	replacedSince     atomic.Int64  // when other daemons took over reading, in ns since 1970; zero if they have not
 	readOnce          atomic.Bool   // read the source once even if this daemon is not a reader
 	wakeReader        chan struct{} // wakes readSource when this daemon is a reader or has to read once
@@ -233,6 +237,9 @@
 		f.setDisconnected(false)
 		backoff, failures = initialRetryDelay, 0
 		if o != nil {
+			if !f.Ready() && thconfig.Generation(o.Version) > 0 {
+				f.awaitPeerTables(ctx)
+			}
 			settled := f.isSettled(o)
 			if settled {
 				f.applyOrders(o)
@@ -263,6 +270,24 @@
 	return false
 }
 
+// awaitPeerTables waits until a daemon that starts has fetched the tables of another one.
+// They have the names and ends of rollouts that a source which has come back from a copy
+// lacks. It returns early if the other daemons start too, and after startFetchTimeout.
+func (f *Follower) awaitPeerTables(ctx context.Context) {
+	f.needsPeerTables.Store(true)
+	defer f.needsPeerTables.Store(false)
+	for end, fleetStarts := f.Clock.Now().Add(startFetchTimeout), false; !f.Ready() && ctx.Err() == nil && f.Clock.Now().Before(end); {
+		// The members are known shortly before the versions that they hold.
+		v := f.Peers.View()
+		startsNow := v != nil && len(v.Alive()) > 1 && f.newestKnown() == 0
+		if startsNow && fleetStarts {
+			return
+		}
+		fleetStarts = startsNow
+		f.sleep(ctx, compareInterval)
+	}
+}
+
 // newestKnown returns the newest version that is known to be in effect at a daemon, zero
 // if none is.
 func (f *Follower) newestKnown() uint64 {
--- a/thsync/restored_test.go
+++ b/thsync/restored_test.go
@@ -67,3 +67,28 @@
 	sources[0].orders <- newOrders(inGeneration(t, 2, 3), 4, 2)
 	waitVersion(t, followers[0], inGeneration(t, 2, 3))
 }
+
+// Guards against a rollout that runs again in the whole fleet: a daemon that starts reads a
+// store that has come back from a copy without the end, and the others take its tables.
+func TestStartedFollowerKeepsEndAfterRestore(t *testing.T) {
+	followers, sources := newFollowers(t, nil, "a", "b")
+	withRollout := func(version, order uint64, state string) *thconfig.DesiredState {
+		o := newOrders(version, 7, 5)
+		o.Rollouts = []thconfig.Rollout{{Service: "page", Target: "v2", OrderVersion: order, State: state}}
+		return o
+	}
+	sources[0].orders <- withRollout(20, 12, thconfig.MoveDone)
+	waitVersion(t, followers[0], 20)
+	move := followers[0].Current().Tables.Moves[0].Name
+	at := func(number uint64) *thconfig.DesiredState {
+		return withRollout(inGeneration(t, 1, number), inGeneration(t, 1, 8), thconfig.MoveRunning)
+	}
+	sources[1].orders <- at(9)
+	sources[1].orders <- at(10)
+	for i := range followers {
+		waitVersion(t, followers[i], inGeneration(t, 1, 10))
+		m := followers[i].Current().Tables.Moves[0]
+		assert.Equal(t, m.Name, move)
+		assert.Equal(t, m.State, thconfig.MoveDone)
+	}
+}
