Reject queued calls that others overtake before most of their time is gone

Cause: the gate beside the server holds calls of retrying clients behind the new ones. It admits one to the queue for 0.3 of the time left, but rejects it only when its deadline can no longer be kept. While new calls kept coming before it, it waited until then.

Ruled out: a silent connection or a frozen daemon (the target logs in every second meanwhile), and an early end of the grace time (5.5 of 6 s used).

Change: a queued call is rejected when it can no longer be served within the time that it may take: its budget, or 0.3 of the time that it had where that is longer.

TestSchedulerRejectsOvertakenCallsEarly: held for 7.8 s of 8 before, at most 2.4 s after.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -42,7 +42,8 @@
 	minObjectiveBudget = 250 * time.Millisecond
 	// lateFraction is the maximum fraction of the remaining time for calls of retrying
 	// clients. They are queued behind the other calls of their priority, and only if
-	// the wait is short.
+	// the wait is short. Other calls that are queued already may take that time too,
+	// when more urgent ones come before them.
 	lateFraction       = 0.3
 	minQueueRetryAfter = 50 * time.Millisecond // bounds of the retry time of a rejected call
 	maxQueueRetryAfter = 2 * time.Second
@@ -82,7 +83,7 @@
 	late               bool          // made by a retrying client whose latency objective has passed
 	parentHasResponses bool          // nested call whose parent call has got responses to other ones
 	due                time.Time     // end of the latency objective; the deadline if there is none
-	deadline           time.Time     // of the caller
+	latest             time.Time     // when the call is rejected if it can't have been served by then
 	budget             time.Duration // maximum time for waiting and serving
 	done               chan struct{} // closed when the call is admitted or rejected
 	err                error         // nil if admitted
@@ -154,7 +155,7 @@
 func newQueuedCall(o *thwire.Open, deadline, now time.Time) *queuedCall {
 	left := deadline.Sub(now)
 	t := &queuedCall{
-		route: o.Route, priority: o.Priority, late: o.Late, parentHasResponses: o.Begun, due: deadline, deadline: deadline,
+		route: o.Route, priority: o.Priority, late: o.Late, parentHasResponses: o.Begun, due: deadline,
 		budget: time.Duration(deadlineFraction * float64(left)), done: make(chan struct{}),
 	}
 	goal := time.Duration(o.Goal)
@@ -166,6 +167,7 @@
 		t.due = now.Add(goal)
 		t.budget = max(time.Duration(objectiveFraction*float64(goal)), min(left/2, minObjectiveBudget))
 	}
+	t.latest = now.Add(max(t.budget, time.Duration(lateFraction*float64(left))))
 	return t
 }
 
@@ -195,13 +197,13 @@
 }
 
 // rejectUnservable rejects the queued calls, starting at position from, that can no
-// longer be served before their deadline because more urgent calls were inserted
-// before them.
+// longer be served in the time that they may take because more urgent calls were
+// inserted before them.
 func (s *Scheduler) rejectUnservable(from int, now time.Time) {
 	for i := from; i < len(s.queue); i++ {
 		t := s.queue[i]
 		wait := s.estimateWait(i, now)
-		if now.Add(wait + s.serviceTime(t.route)).Before(t.deadline) {
+		if now.Add(wait + s.serviceTime(t.route)).Before(t.latest) {
 			continue
 		}
 		t.err = s.fullError(wait)
--- a/thadmit/scheduler_test.go
+++ b/thadmit/scheduler_test.go
@@ -30,23 +30,20 @@
 	return &thwire.Open{Route: "inner", Priority: 1, Deadline: int64(500 * time.Millisecond), Goal: int64(150 * time.Millisecond)}
 }
 
-// enter calls Enter in a goroutine and returns once the call is queued or decided.
-// The channel receives the result.
+// enter makes a call that is admitted, queued or rejected when enter returns. The channel
+// receives the result.
 func enter(t *testing.T, s *Scheduler, o *thwire.Open) <-chan error {
 	c := make(chan error, 1)
-	before := s.Load("").Queued + s.Load("").Active
-	go func() {
-		_, err := s.Enter(t.Context(), o)
+	q, err := s.tryEnter(t.Context(), o)
+	if q == nil {
 		c <- err
-	}()
-	for range 100_000 {
-		if len(c) > 0 || s.Load("").Queued+s.Load("").Active > before {
-			return c
-		}
-		time.Sleep(100 * time.Microsecond)
+		return c
 	}
-	t.Fatal("call neither queued nor decided")
-	return nil
+	go func() {
+		<-q.done
+		c <- q.err
+	}()
+	return c
 }
 
 // setServiceTime sets the measured service time of a route and of all calls.
@@ -150,6 +147,28 @@
 	}
 }
 
+// Guards against queued calls of retrying clients that are held until near their deadline,
+// seconds later, while new calls keep coming before them.
+func TestSchedulerRejectsOvertakenCallsEarly(t *testing.T) {
+	const deadline = 8 * time.Second
+	s, clock := newScheduler(1)
+	running, err := s.Enter(t.Context(), view())
+	assert.NilError(t, err)
+	late := &thwire.Open{Route: "view", Priority: 2, Deadline: int64(deadline), Late: true}
+	c := enter(t, s, late)
+	assert.Equal(t, len(c), 0, "a place is near")
+	start := clock.Now()
+	for len(c) == 0 && clock.Since(start) < deadline {
+		enter(t, s, view())
+		clock.Advance(viewTime)
+		running.Done(viewTime, true)
+		running = &Admission{scheduler: s, route: "view"} // of the call that has come before
+		time.Sleep(time.Millisecond)                      // the rejected call ends in its goroutine
+	}
+	assert.Equal(t, therror.KindOf(<-c), therror.Full)
+	assert.Assert(t, clock.Since(start) <= time.Duration(lateFraction*float64(deadline)), "held for %s", clock.Since(start))
+}
+
 // A backend server becomes cold under traffic. Guards against more calls in
 // any second than its admitted rate, including the calls that were dispatched before
 // the cold state was reported.
