Try no further server for a call that a stopping daemon cannot finish

What callers saw: shown by TestStoppingIngressDoesNotTryFurtherServers. A call that a daemon takes shortly before or after SIGTERM and that one gate rejects, after a wait in its queue, is sent to the next one, whose queue may last until the daemon is gone: the connection ends without a response.

Cause: the check of the time left to a stopping daemon is made once, when the call arrives.

Change: the check is made before each further attempt too, unless a backend server may have got the call. The caller gets the rejection, with its Retry-After; the call has not run.

Before: the test gets 200 from the second server, although the deadline is a second after the end of the daemon. After: 503 with Retry-After.

--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -180,7 +180,7 @@
 	if c.rejectedByAll || c.attempts >= maxAttempts || c.ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
-	if c.route.Attempts > 0 && c.reached >= c.route.Attempts {
+	if c.route.Attempts > 0 && c.reached >= c.route.Attempts || c.checkTimeLeft() != nil {
 		return false
 	}
 	// The caller's own daemon already retries the outer call.
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -225,10 +225,11 @@
 	}
 }
 
-// checkTimeLeft rejects a call whose deadline is after the end of the stopping daemon,
-// which would cut it. Nested calls are accepted: a rejection would waste their parent.
+// checkTimeLeft rejects a call that no backend server has got if its deadline is after
+// the end of the stopping daemon, which would cut it. Nested calls are accepted: a
+// rejection would waste their parent.
 func (c *call) checkTimeLeft() error {
-	if c.TimeLeft == nil || c.parent != nil {
+	if c.TimeLeft == nil || c.parent != nil || c.reached > 0 {
 		return nil
 	}
 	left, stopping := c.TimeLeft()
--- a/thproxy/stopping_test.go
+++ b/thproxy/stopping_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -42,3 +43,28 @@
 	stopping = false
 	assert.Equal(t, send("d", "2000").StatusCode, http.StatusOK)
 }
+
+// Guards against a stopping daemon that queues a call at a further backend server after a
+// rejection, and is gone before the response.
+func TestStoppingIngressDoesNotTryFurtherServers(t *testing.T) {
+	var runs atomic.Int32
+	serve := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+	m := newMesh(t, nonIdempotentRoute, serve, serve)
+	m.ingress.Headers = &Headers{RequestID: testIDHeader, Deadline: HeaderDeadline}
+	m.gates[0].rejection.Store(therror.New(therror.Full, "full").WithRetryAfter(time.Second))
+	calls := 0
+	m.ingress.TimeLeft = func() (time.Duration, bool) {
+		calls++
+		return time.Second, calls > 1 // the daemon begins to stop while the call is queued
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, m.front.URL+"/x", nil)
+	assert.NilError(t, err)
+	request.Header.Set(testIDHeader, "a")
+	request.Header.Set(HeaderDeadline, "2000")
+	response, err := m.client.Do(request)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, runs.Load(), int32(0))
+}
