Limit the calls of a load test at the gates of the new version

Cause: a load test was limited by its time only, planned from the mean rate since the start of the order. The rate in the test was 1.2 times that: the traffic grew, and callers repeat at once what a bad version fails. Class: a limit kept by prediction where it can be counted.

Ruled out: daemons that end the test later than planned (each ends it by itself after the same time), and the lag of the counts alone (8% here).

Change: the coordinator divides the calls that the limit leaves among the servers of the new version, and the daemon beside each rejects the calls of a test beyond its part; they have not run, and go to the old version at no cost. The plan of the time stays, so the part is used up only when traffic exceeds it.

TestCallBeyondLoadTestGoesToOtherServer.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -232,7 +232,7 @@
 		Transport: d.transport,
 		Closed:    d.rejectsCalls,
 		Pool:      d.pool,
-		OnDispatch: func(route, pool string, cold bool) thproxy.CallObserver {
+		OnDispatch: func(route, pool string, cold bool) (thproxy.CallObserver, bool) {
 			return d.mover.BeginServed(route, pool, cold)
 		},
 		Clock: d.Clock, Log: d.Log.Named("target"),
--- a/thmember/node_test.go
+++ b/thmember/node_test.go
@@ -173,7 +173,7 @@
 	f := newFleet(t, 10)
 	f.waitFor("every node sees every member", time.Minute, f.converged)
 	f.nodes[3].SetHeld(7, []byte{1, 2, 3, 4, 5, 6, 7, 8})
-	f.nodes[4].MergeMoveState(thwire.MoveState{Move: "m", Step: 2})
+	f.nodes[4].MergeMoveState(thwire.MoveState{Move: "m", Step: 2, Lasts: time.Second, Calls: 9})
 	f.nodes[5].MergeMoveState(thwire.MoveState{Move: "m", Step: 1, Bad: true, Reason: "errors"})
 	f.nodes[6].SetServer(&thwire.Server{Service: "s", Version: "1", Slots: 4, State: thwire.ServerReady})
 	f.waitFor("updates reach every node", 20*time.Second, func() bool {
@@ -181,7 +181,7 @@
 			v, moveStates := n.View(), n.MoveStates()
 			m, _ := v.Member("n06")
 			if v.Held["n03"].Version != 7 || v.Held["n03"].Digest != 0x0102030405060708 || m.Server == nil ||
-				len(moveStates) != 1 || moveStates[0] != (thwire.MoveState{Move: "m", Step: 2, Bad: true, Reason: "errors"}) {
+				len(moveStates) != 1 || moveStates[0] != (thwire.MoveState{Move: "m", Step: 2, Bad: true, Reason: "errors", Lasts: time.Second, Calls: 9}) {
 				return false
 			}
 		}
--- a/thmember/view.go
+++ b/thmember/view.go
@@ -88,11 +88,11 @@
 	m := thwire.MoveState{Move: a.Move, Step: max(a.Step, b.Step), Bad: a.Bad || b.Bad, End: max(a.End, b.End)}
 	switch {
 	case a.Step > b.Step:
-		m.Lasts = a.Lasts
+		m.Lasts, m.Calls = a.Lasts, a.Calls
 	case a.Step < b.Step:
-		m.Lasts = b.Lasts
+		m.Lasts, m.Calls = b.Lasts, b.Calls
 	default:
-		m.Lasts = max(a.Lasts, b.Lasts)
+		m.Lasts, m.Calls = max(a.Lasts, b.Lasts), max(a.Calls, b.Calls)
 	}
 	switch {
 	case a.Bad != b.Bad && a.Bad:
@@ -161,5 +161,8 @@
 	if f.Lasts != 0 {
 		h = hashUint64(h, uint64(f.Lasts))
 	}
+	if f.Calls != 0 {
+		h = hashUint64(h, f.Calls)
+	}
 	return mix(h)
 }
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -177,15 +177,15 @@
 	t.evidence.update(step.number, step.share(now), sent)
 	next := step.number + 1
 	switch {
-	case t.bad.Load() || v.empty[t.move.Name],
+	case t.bad.Load() || v.servers[t.move.Name] == 0,
 		next > min(t.schedule.maxStep(now), lastStep),
 		!t.hasSettled(now) || !t.evidence.isEnough(sent),
 		t.suspect && next >= firstLoadTest:
 		return
 	}
-	var lasts time.Duration
+	var test loadTest
 	if isLoadTest(next) {
-		if lasts = t.schedule.loadTestDuration(next, now, m.Exposure, sent); lasts == 0 {
+		if test = t.schedule.planLoadTest(next, now, m.Exposure, sent); test.lasts == 0 {
 			return
 		}
 	}
@@ -195,8 +195,9 @@
 			t.outliers = append(t.outliers, findOutliers(counts, t.move.To, g.groupOf, t.fleetBaseline))
 		}
 	}
-	m.Log.Info("move raised", "move", t.move.Name, "step", next, "share", stepShare(next), "lasts", lasts)
-	m.publish(v, now, thwire.MoveState{Move: t.move.Name, Step: next, Lasts: lasts})
+	calls := test.callsPerServer(v.servers[t.move.Name])
+	m.Log.Info("move raised", "move", t.move.Name, "step", next, "share", stepShare(next), "lasts", test.lasts, "calls", calls)
+	m.publish(v, now, thwire.MoveState{Move: t.move.Name, Step: next, Lasts: test.lasts, Calls: calls})
 }
 
 // logEvidence logs what the verdict about a running move is based on, once per
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -34,10 +34,13 @@
 // that a call is in progress while the Movers evaluate the ones before it.
 type rollout struct {
 	*fleet
-	rate   float64 // calls a second
-	span   time.Duration
-	routes []modelRoute
-	speeds map[string]float64 // by server: factor on the work
+	rate    float64 // calls a second
+	span    time.Duration
+	routes  []modelRoute
+	speeds  map[string]float64 // by server: factor on the work
+	growth  float64            // increase of the rate in each second, as a fraction of rate
+	poisson bool               // calls arrive independently of each other
+	retries int                // of a call that has failed, at once
 	// respond changes the outcome of a call to the new version. load is the number of
 	// calls in progress at the server.
 	respond func(r *rollout, c *modelCall, load int)
@@ -60,6 +63,7 @@
 	begin, end          time.Time
 	kind                therror.Kind
 	status              int
+	attempt             int // from zero, of its caller
 	served              *ServedCall
 }
 
@@ -148,11 +152,15 @@
 	slices.Sort(names)
 	due := 0.0
 	for step := 1; step <= int(duration/modelStep); step++ {
-		for due += r.rate * modelStep.Seconds(); due >= 1; due-- {
-			r.begin(names, oldServers, newServers)
+		for due += r.arrivals(); due >= 1; due-- {
+			r.begin(names, oldServers, newServers, 0)
 		}
 		r.clock.Advance(modelStep)
-		r.finishCalls()
+		for _, c := range r.finishCalls() {
+			if c.status >= 500 && c.attempt < r.retries {
+				r.begin(names, oldServers, newServers, c.attempt+1)
+			}
+		}
 		if step%int(tickInterval/modelStep) != 0 {
 			continue
 		}
@@ -166,21 +174,34 @@
 	}
 }
 
+// arrivals returns the number of calls that arrive in a step of the model.
+func (r *rollout) arrivals() float64 {
+	mean := r.rate * (1 + r.growth*r.clock.Since(r.start).Seconds()) * modelStep.Seconds()
+	if !r.poisson {
+		return mean
+	}
+	n := -1.0
+	for left := mean; left > 0; left -= r.random.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
 // begin starts one call from a random daemon.
-func (r *rollout) begin(names, oldServers, newServers []string) {
+func (r *rollout) begin(names, oldServers, newServers []string, attempt int) {
 	m := r.movers[names[r.random.Intn(len(names))]]
 	_, _, share, running := m.SharePool("old")
-	c := &modelCall{route: r.routes[r.random.Intn(len(r.routes))].name, pool: "old", begin: r.clock.Now(), status: 200}
+	c := &modelCall{route: r.routes[r.random.Intn(len(r.routes))].name, pool: "old", begin: r.clock.Now(), status: 200, attempt: attempt}
 	servers := oldServers
 	if running && r.random.Float64() < share || !running && r.state() == thconfig.MoveDone {
 		c.pool, servers = "new", newServers
 	}
 	r.peak = max(r.peak, share)
-	c.server = servers[r.random.Intn(len(servers))]
-	for _, s := range servers {
-		if r.running[s] < r.running[c.server] {
-			c.server = s
-		}
+	allowed := false
+	if c.served, allowed = r.dispatch(c, servers); !allowed {
+		// Calls that the new version rejects go to the old one.
+		c.pool = "old"
+		c.served, _ = r.dispatch(c, oldServers)
 	}
 	if r.clock.Since(r.start) < r.span {
 		r.all++
@@ -201,17 +222,30 @@
 		c.end, c.status = c.begin.Add(callDeadline), 504
 	}
 	r.running[c.server]++
-	c.served = r.movers[c.server].BeginServed(c.route, c.pool, false)
 	heap.Push(&r.inProgress, c)
 }
 
-// finishCalls ends the calls whose time has come.
-func (r *rollout) finishCalls() {
+// dispatch sends a call to the server with the fewest calls in progress.
+func (r *rollout) dispatch(c *modelCall, servers []string) (*ServedCall, bool) {
+	c.server = servers[r.random.Intn(len(servers))]
+	for _, s := range servers {
+		if r.running[s] < r.running[c.server] {
+			c.server = s
+		}
+	}
+	return r.movers[c.server].BeginServed(c.route, c.pool, false)
+}
+
+// finishCalls ends the calls whose time has come, and returns them.
+func (r *rollout) finishCalls() []*modelCall {
+	var ended []*modelCall
 	for len(r.inProgress) > 0 && !r.inProgress[0].end.After(r.clock.Now()) {
 		c := heap.Pop(&r.inProgress).(*modelCall)
 		r.running[c.server]--
 		c.served.End(c.kind, c.status, c.end.Sub(c.begin))
+		ended = append(ended, c)
 	}
+	return ended
 }
 
 // requireWithinExposure checks what a bad version may get, and that it isn't the end.
@@ -310,6 +344,27 @@
 	})
 }
 
+// Guards against a load test that sends more calls than planned: traffic grows and varies
+// by chance, and callers repeat the calls that the bad version fails.
+func TestRetriesStayWithinExposure(t *testing.T) {
+	for _, failing := range []float64{0.4, 0.9} {
+		for seed := range int64(50) {
+			t.Run(fmt.Sprintf("%g failing, seed %d", failing, seed), func(t *testing.T) {
+				t.Parallel()
+				r := newRollout(seed, 100, 9100*time.Millisecond)
+				r.growth, r.poisson, r.retries = 0.05, true, 2
+				r.respond = func(r *rollout, c *modelCall, _ int) {
+					if c.begin.Sub(r.start) > 4*time.Second && r.random.Float64() < failing {
+						c.status, c.end = 500, c.begin.Add(c.end.Sub(c.begin)/4)
+					}
+				}
+				r.play(r.span + 5*time.Second)
+				r.requireWithinExposure(t)
+			})
+		}
+	}
+}
+
 // Guards against a load test that goes on while nobody coordinates the move, and against a
 // new coordinator that raises the share without the evidence of the one before.
 func TestCoordinatorLossStaysWithinExposure(t *testing.T) {
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -79,7 +79,7 @@
 	byMove   map[string]*track // by the move's name
 	excluded map[string]bool   // backend servers whose calls aren't counted
 	zones    map[string]string // availability zone by server
-	empty    map[string]bool   // moves whose new version has no backend server
+	servers  map[string]int    // by move: alive backend servers of the new version
 	large    map[string]bool   // moves whose pools have more than smallMoveServers
 }
 
@@ -144,7 +144,7 @@
 		byMove:   map[string]*track{},
 		excluded: map[string]bool{},
 		zones:    map[string]string{},
-		empty:    map[string]bool{},
+		servers:  map[string]int{},
 		large:    map[string]bool{},
 	}
 	now := thclock.OrSystem(m.Clock).Now()
@@ -166,7 +166,7 @@
 		}
 		next.byMove[move.Name] = t
 		to := countServers(tables, move.To, members)
-		next.empty[move.Name] = to == 0
+		next.servers[move.Name] = to
 		next.large[move.Name] = to+countServers(tables, move.From, members) > smallMoveServers
 	}
 	for _, s := range members {
@@ -257,7 +257,7 @@
 		return
 	}
 	if step := min(max(u.Step, 0), lastStep); step > t.currentStep().number {
-		t.step.Store(&moveStep{number: step, since: now, lasts: u.Lasts})
+		t.step.Store(&moveStep{number: step, since: now, lasts: u.Lasts, calls: u.Calls, sentBefore: t.served[1].currentTotals().sent})
 	}
 	if u.Bad && !t.bad.Load() {
 		t.bad.Store(true)
@@ -292,7 +292,7 @@
 	var all []Status
 	for _, t := range v.byRoute {
 		reason := t.reason
-		if reason == "" && v.empty[t.move.Name] {
+		if reason == "" && v.servers[t.move.Name] == 0 {
 			reason = "no backend server in pool " + t.move.To
 		}
 		all = append(all, Status{
--- a/thmove/mover_test.go
+++ b/thmove/mover_test.go
@@ -205,7 +205,7 @@
 	status, latency := respond(f, pool, target, share)
 	m.Observe(name, pool, target, "", status, latency, thwire.Load{})
 	if local := f.movers[target]; local != nil {
-		local.BeginServed("slots", pool, false).End("", status, latency)
+		beginServed(local, "slots", pool).End("", status, latency)
 	}
 }
 
--- a/thmove/schedule.go
+++ b/thmove/schedule.go
@@ -43,6 +43,13 @@
 	maxFinalOutcomeWait = 3 * time.Second
 	// plannedExposure is the fraction of the allowed calls that the steps plan with.
 	plannedExposure = 0.9
+	// maxExposure is the fraction of the allowed calls at which the backend servers of the
+	// new version get no more calls of a load test. Traffic may grow meanwhile, as when
+	// callers repeat what a bad version fails.
+	maxExposure = 0.97
+	// maxTestPart is the factor on the part of the first load test by which it may grow
+	// before its calls are cut; the last one then gets less.
+	maxTestPart = 2
 )
 
 // stepShare returns the traffic share of a step; a step out of range is clamped.
@@ -114,30 +121,45 @@
 	return s.fraction(maxLoadTestFraction)
 }
 
-// loadTestDuration returns how long a load test may last so that it, the later ones and
-// the traffic between them stay within the limit. It returns zero if the limit leaves less
-// than minLoadTest.
-func (s schedule) loadTestDuration(step int, now time.Time, limit ExposureLimit, sent sentCalls) time.Duration {
+// loadTest is the plan of a load test.
+type loadTest struct {
+	lasts time.Duration // zero if the limit leaves less than minLoadTest
+	calls float64       // that the new version may get at most; zero means no limit
+}
+
+// callsPerServer returns the number of calls that each of the servers of the new version
+// may get; zero means no limit.
+func (l loadTest) callsPerServer(servers int) uint64 {
+	if l.calls == 0 {
+		return 0
+	}
+	return uint64(max(1, l.calls/float64(max(servers, 1))))
+}
+
+// planLoadTest plans a load test so that it, the later ones and the traffic between them
+// stay within the limit.
+func (s schedule) planLoadTest(step int, now time.Time, limit ExposureLimit, sent sentCalls) loadTest {
 	longest := max(s.fraction(maxLoadTestFraction), minLoadTest)
 	if step == finalLoadTest {
 		longest = max(s.fraction(maxFinalTestFraction), minLoadTest)
 	}
 	rate := float64(sent.all()) / max(now.Sub(s.start), time.Second).Seconds()
 	if rate == 0 {
-		return longest
+		return loadTest{lasts: longest}
 	}
 	timeLeft := max(s.start.Add(s.fraction(1)).Sub(now), 0).Seconds()
-	remaining := plannedExposure*limit.allowed(float64(sent.all())+rate*timeLeft) -
-		float64(sent.newVersion) - stepShare(0)*rate*timeLeft
+	allowed := limit.allowed(float64(sent.all()) + rate*timeLeft)
+	spent := float64(sent.newVersion) + stepShare(0)*rate*timeLeft
 	weights := loadTestWeights[step-firstLoadTest:]
 	sum := 0.0
 	for _, w := range weights {
 		sum += w
 	}
-	calls := remaining * weights[0] / sum
-	duration := time.Duration(calls / (rate * stepShare(step)) * float64(time.Second))
-	if duration < minLoadTest {
-		return 0
+	part := weights[0] / sum
+	planned := (plannedExposure*allowed - spent) * part
+	lasts := time.Duration(planned / (rate * stepShare(step)) * float64(time.Second))
+	if lasts < minLoadTest {
+		return loadTest{}
 	}
-	return min(duration, longest)
+	return loadTest{lasts: min(lasts, longest), calls: (maxExposure*allowed - spent) * min(maxTestPart*part, 1)}
 }
--- a/thmove/served.go
+++ b/thmove/served.go
@@ -54,33 +54,37 @@
 }
 
 // BeginServed counts a call that is being sent to the local backend server. cold tells
-// whether the server is cold. It returns nil for a call that isn't part of a running move.
-// The caller must call End.
-func (m *Mover) BeginServed(route, pool string, cold bool) *ServedCall {
+// whether the server is cold. It returns nil for a call that isn't part of a running move,
+// and false for one that must not be sent, since the load test of the new version has had
+// all its calls. The caller must call End unless the call must not be sent.
+func (m *Mover) BeginServed(route, pool string, cold bool) (c *ServedCall, allowed bool) {
 	v := m.view.Load()
 	if v == nil {
-		return nil
+		return nil, true
 	}
 	t := v.byRoute[route]
 	if t == nil {
 		t = v.byPool[pool]
 	}
 	if t == nil {
-		return nil
+		return nil, true
 	}
 	served := t.servedCalls(pool)
 	if served == nil {
-		return nil
+		return nil, true
 	}
 	now := thclock.OrSystem(m.Clock).Now()
-	c := &ServedCall{mover: m, served: served, begin: now, timed: countsLatency(t, now, cold)}
+	c = &ServedCall{mover: m, served: served, begin: now, timed: countsLatency(t, now, cold)}
 	served.mu.Lock()
 	defer served.mu.Unlock()
+	if pool == t.move.To && !t.currentStep().allows(served.totals.sent) {
+		return nil, false
+	}
 	c.route = served.route(route)
 	c.route.running[c] = struct{}{}
 	served.totals.sent++
 	served.totals.active++
-	return c
+	return c, true
 }
 
 // Responded tells that the response header has arrived. The time that the body takes
--- a/thmove/served_test.go
+++ b/thmove/served_test.go
@@ -9,6 +9,15 @@
 	"github.com/turmerichaven/turmerichaven/therror"
 )
 
+// beginServed begins a call that must be allowed.
+func beginServed(m *Mover, route, pool string) *ServedCall {
+	c, allowed := m.BeginServed(route, pool, false)
+	if !allowed {
+		panic("call not allowed")
+	}
+	return c
+}
+
 // Guards against a slow version whose calls are never counted: their callers cut them
 // off, or they are still running when the versions are compared.
 func TestUnfinishedCallsCountAsSlow(t *testing.T) {
@@ -17,12 +26,12 @@
 			f := newFleet(1)
 			oldServer, newServer := f.movers["otaru-0"], f.movers["otaru-1"]
 			for range 100 {
-				c := oldServer.BeginServed("slots", "old", false)
+				c := beginServed(oldServer, "slots", "old")
 				c.End("", 200, 100*time.Millisecond)
 			}
 			var calls []*ServedCall
 			for range 20 {
-				calls = append(calls, newServer.BeginServed("slots", "new", false))
+				calls = append(calls, beginServed(newServer, "slots", "new"))
 			}
 			f.clock.Advance(50 * time.Millisecond)
 			assert.Assert(t, !compare(f, oldServer, newServer).bad, "young calls tell nothing")
@@ -42,10 +51,10 @@
 	f := newFleet(1)
 	oldServer, newServer := f.movers["otaru-0"], f.movers["otaru-1"]
 	for range 100 {
-		oldServer.BeginServed("slots", "old", false).End("", 200, 100*time.Millisecond)
+		beginServed(oldServer, "slots", "old").End("", 200, 100*time.Millisecond)
 	}
 	for i := range 40 {
-		c := newServer.BeginServed("slots", "new", false)
+		c := beginServed(newServer, "slots", "new")
 		c.Responded()
 		if i%2 == 0 {
 			f.clock.Advance(time.Second)
@@ -61,11 +70,11 @@
 	f := newFleet(1)
 	oldServer, newServer := f.movers["otaru-0"], f.movers["otaru-1"]
 	for range 1000 {
-		oldServer.BeginServed("slots", "old", false).End("", 200, 100*time.Millisecond)
+		beginServed(oldServer, "slots", "old").End("", 200, 100*time.Millisecond)
 	}
 	var slow []*ServedCall
 	for i := range 500 {
-		if c := newServer.BeginServed("slots", "new", false); i%100 == 0 {
+		if c := beginServed(newServer, "slots", "new"); i%100 == 0 {
 			slow = append(slow, c)
 		} else {
 			c.End("", 200, 100*time.Millisecond)
@@ -98,7 +107,7 @@
 
 // Guards against a nil call, which BeginServed returns for a route without a move.
 func TestCallWithoutMoveIsNotCounted(t *testing.T) {
-	c := (&Mover{}).BeginServed("slots", "old", false)
+	c := beginServed(&Mover{}, "slots", "old")
 	assert.Assert(t, c == nil)
 	c.End("", 200, time.Millisecond)
 }
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -57,6 +57,15 @@
 	number int
 	since  time.Time     // when this daemon learned of the step
 	lasts  time.Duration // time for which the share of a load test holds
+	// In a load test, the local backend server gets at most calls more than sentBefore, the
+	// calls of the new version that it had got until then. Zero calls mean no limit.
+	calls, sentBefore uint64
+}
+
+// allows reports whether a backend server of the new version may get another call after
+// it has got sent ones.
+func (s *moveStep) allows(sent uint64) bool {
+	return !isLoadTest(s.number) || s.calls == 0 || sent < s.sentBefore+s.calls
 }
 
 // share returns the traffic share of the new version at the step.
--- a/thproxy/observer_test.go
+++ b/thproxy/observer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 // observe makes the first target report its next call to the returned observer.
 func observe(m *mesh) *observedCall {
 	o := &observedCall{responded: make(chan struct{}), ended: make(chan observedEnd, 1)}
-	m.targets[0].OnDispatch = func(string, string, bool) CallObserver { return o }
+	m.targets[0].OnDispatch = func(string, string, bool) (CallObserver, bool) { return o, true }
 	return o
 }
 
@@ -82,3 +83,20 @@
 	assert.NilError(t, response.Body.Close())
 	assert.Equal(t, <-o.ended, observedEnd{"", http.StatusOK})
 }
+
+// Guards against a call that is sent to a new version whose load test has had its calls, and
+// against one that fails for that although the old version has room.
+func TestCallBeyondLoadTestGoesToOtherServer(t *testing.T) {
+	var runs [2]atomic.Int32
+	m := newMesh(t, nonIdempotentRoute,
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs[0].Add(1) }),
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs[1].Add(1) }))
+	m.targets[0].OnDispatch = func(string, string, bool) (CallObserver, bool) { return nil, false }
+	response, err := m.client.Post(m.front.URL+"/", "", http.NoBody)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, runs[0].Load(), int32(0))
+	assert.Equal(t, runs[1].Load(), int32(1))
+	assert.Equal(t, m.gates[0].active.Load(), int32(0))
+}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -63,8 +63,9 @@
 	// newer tables, in which the pool may hold it; nil skips the check.
 	Pool func(name string) (pool *thconfig.Pool, version uint64, found bool)
 	// OnDispatch is called before a call is sent to the backend server, and returns the
-	// observer of the call; it may be nil.
-	OnDispatch func(route, pool string, cold bool) CallObserver
+	// observer of the call. A call that is not allowed is rejected without being sent.
+	// OnDispatch may be nil.
+	OnDispatch func(route, pool string, cold bool) (observer CallObserver, allowed bool)
 	// OnLoadReport receives the load that the backend server reports in a response
 	// header; it may be nil.
 	OnLoadReport func(running, waiting, slots int)
@@ -191,7 +192,12 @@
 	var observer CallObserver
 	status, latency := 0, time.Duration(0) // until the response header
 	if o := c.Open(); t.OnDispatch != nil {
-		observer = t.OnDispatch(o.Route, o.Pool, t.Gate.Load(o.Route).Cold)
+		allowed := false
+		if observer, allowed = t.OnDispatch(o.Route, o.Pool, t.Gate.Load(o.Route).Cold); !allowed {
+			pass.Done(0, true)
+			releaseKey(c, ticket)
+			return nil, therror.New(therror.Full, "pool %s has had the calls of its load test", o.Pool)
+		}
 		defer func() { observer.End(therror.KindOf(err), status, latency) }()
 	}
 	clock := thclock.OrSystem(t.Clock)
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -101,6 +101,9 @@
 	// Lasts is the time for which a daemon keeps the share of Step if that is a load test,
 	// counted from when it learns of the step.
 	Lasts time.Duration `msg:"l,omitempty"`
+	// Calls is the number of calls that each backend server of the new version may get in
+	// that load test; zero means no limit.
+	Calls uint64 `msg:"c,omitempty"`
 }
 
 // Update carries the state updates that are flooded over control connections.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1651,8 +1651,8 @@
 func (z *MoveState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Reason == "" {
 		zb0001Len--
@@ -1666,6 +1666,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Calls == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1695,6 +1699,11 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendDuration(o, z.Lasts)
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendUint64(o, z.Calls)
+		}
 	}
 	return
 }
@@ -1757,6 +1766,12 @@
 				err = msgp.WrapError(err, "Lasts")
 				return
 			}
+		case "c":
+			z.Calls, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Calls")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1771,7 +1786,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *MoveState) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Move) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.StringPrefixSize + len(z.End) + 2 + msgp.DurationSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Move) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.StringPrefixSize + len(z.End) + 2 + msgp.DurationSize + 2 + msgp.Uint64Size
 	return
 }
 
