Commit the end of a move within two seconds after an outage

Cause: the pauses between attempts grow up to 10 s, and an attempt may take 5 s (2 s for each call). Class: a back-off made for many callers where there is one, with a deadline.

Change: an attempt takes one second at most, and the next one follows a second later at most. Only the coordinator of a move makes them.

TestEndIsCommittedSoonAfterOutage: still running 2 s after an outage of 20 s before, reverted after.

--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -390,6 +390,40 @@
 	}
 }
 
+// outageCommitter fails until the platform returns.
+type outageCommitter struct {
+	committer
+	returns  time.Time
+	deadline time.Duration // until the deadline of the last attempt
+}
+
+func (o *outageCommitter) CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (string, error) {
+	deadline, _ := ctx.Deadline()
+	o.deadline = time.Until(deadline)
+	if o.rollout.clock.Now().Before(o.returns) {
+		return "", therror.New(therror.Down, "platform is down")
+	}
+	return o.committer.CommitEnd(ctx, move, state, reason)
+}
+
+// Guards against an end that is committed long after the platform has returned, since the
+// pauses between attempts have grown meanwhile, or an attempt made before gets no response.
+func TestEndIsCommittedSoonAfterOutage(t *testing.T) {
+	const outage, within = 20 * time.Second, 2 * time.Second
+	r := newRollout(1, 150, 30*time.Second)
+	r.respond = func(_ *rollout, c *modelCall, _ int) { c.status = 500 }
+	var committers []*outageCommitter
+	for _, m := range r.movers {
+		c := &outageCommitter{committer: m.EndCommitter.(committer), returns: r.start.Add(outage)}
+		committers, m.EndCommitter = append(committers, c), c
+	}
+	r.play(outage + within)
+	assert.Equal(t, r.state(), thconfig.MoveReverted)
+	for _, c := range committers {
+		assert.Assert(t, c.deadline <= within/2, "an attempt may take %s", c.deadline)
+	}
+}
+
 // Guards against a share that grows without evidence: no call to the new version is
 // answered before the share has reached 100%.
 func TestShareGrowsOnlyOnResponses(t *testing.T) {
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -44,9 +44,12 @@
 	// every second tick. The reports of a server cost the coordinator about 0.9 KB/s, of
 	// the 18 KB/s allowed for a daemon.
 	smallMoveServers = 12
-	finishTimeout    = 5 * time.Second
+	// finishTimeout and maxFinishBackoff bound the time between the return of a platform
+	// that was away and the commit of the end: an attempt that began before may get no
+	// response. Only the coordinator attempts it.
+	finishTimeout    = time.Second
 	minFinishBackoff = 500 * time.Millisecond
-	maxFinishBackoff = 10 * time.Second
+	maxFinishBackoff = time.Second
 
 	evidenceLogInterval = time.Second
 
