Divide the significance level of a verdict among the samples of a move

What callers saw: nothing lost; the operator saw a good version reverted.

Cause: the level of 0.001 holds for one comparison. A rollout of a minute is compared in each quarter of a second, over some four samples of 15 s that do not overlap. Class: repeated tests taken for one.

Change: the level is divided by the number of samples in the time of the move; orders of up to 15 s are judged as before.

TestLongRolloutAllowsForItsSamples can't be built on the code before; with one sample the version in it is bad.

--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -54,7 +54,7 @@
 		return
 	}
 	for _, w := range windows[:lastWindow] {
-		result := judge(t.ingressCounts(now, w, v.excluded), t.move.From, t.move.To, v.groupings(), &t.localBaseline)
+		result := judge(t.ingressCounts(now, w, v.excluded), t.move.From, t.move.To, v.groupings(), &t.localBaseline, t.schedule.samples())
 		if result.bad && now.UnixNano() >= t.suspendedUntil.Load() {
 			t.suspendedUntil.Store(now.Add(suspension).UnixNano())
 			m.Log.Warn("new version suspended on this daemon", "move", t.move.Name, "reason", result.reason)
@@ -160,7 +160,7 @@
 	t.suspect = false
 	for i, window := range windows {
 		counts = withoutExcluded(t.reports.sum(now, i), v.excluded)
-		result := judge(counts, t.move.From, t.move.To, v.fleetGroupings(t), &t.fleetBaseline)
+		result := judge(counts, t.move.From, t.move.To, v.fleetGroupings(t), &t.fleetBaseline, t.schedule.samples())
 		t.suspect = t.suspect || result.suspect
 		if !t.bad.Load() && (result.bad || result.suspect && step >= firstLoadTest && t.isDue(now)) {
 			m.Log.Warn("new version is bad", "move", t.move.Name, "step", step, "window", window, "reason", result.reason)
--- a/thmove/schedule.go
+++ b/thmove/schedule.go
@@ -72,6 +72,12 @@
 	return s.fraction(gradualFraction) / firstLoadTest
 }
 
+// samples returns the number of samples of the longest window, at least one, that do not
+// overlap.
+func (s schedule) samples() float64 {
+	return max(1, float64(s.deadline.Sub(s.start))/float64(longestWindow))
+}
+
 // maxStep returns the highest step that the schedule allows at now, and -1 before the
 // start. Load tests follow each other as soon as their outcome is known.
 func (s schedule) maxStep(now time.Time) int {
--- a/thmove/served_test.go
+++ b/thmove/served_test.go
@@ -102,7 +102,7 @@
 	now := f.clock.Now()
 	counts := oldServer.view.Load().byMove["slots-1"].targetCounts(now, longestWindow, "otaru-0")
 	counts = append(counts, newServer.view.Load().byMove["slots-1"].targetCounts(now, window, "otaru-1")...)
-	return judge(counts, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{})
+	return judge(counts, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{}, 1)
 }
 
 // Guards against a nil call, which BeginServed returns for a route without a move.
--- a/thmove/verdict.go
+++ b/thmove/verdict.go
@@ -61,6 +61,12 @@
 		poissonTail(bad, float64(n)*(oldRate+allowance)) < t.maxProbability
 }
 
+// divided returns the threshold with the significance level divided by n.
+func (t threshold) divided(n float64) threshold {
+	t.maxProbability /= n
+	return t
+}
+
 // verdict is the result of comparing two versions; reason is empty if suspect is false.
 type verdict struct {
 	bad     bool
@@ -191,8 +197,9 @@
 // its availability zones, is left out: a single slow server or the loss of a zone
 // doesn't make a version bad. judge updates the baseline while the old version has
 // enough traffic, and uses it instead of the old version's counts when there is too
-// little traffic left.
-func judge(counts []thwire.ServerCounts, from, to string, groupings []grouping, baseline *routeSamples) verdict {
+// little traffic left. samples is the number of independent samples of which these counts
+// are one: each is a further chance of a false verdict.
+func judge(counts []thwire.ServerCounts, from, to string, groupings []grouping, baseline *routeSamples, samples float64) verdict {
 	old := routeSamples{}
 	var newCounts []thwire.ServerCounts
 	for _, c := range counts {
@@ -216,7 +223,7 @@
 			}
 		}
 	}
-	if v := compareVersions(old, sumCounts(newCounts, nil), errorThreshold, latencyThreshold); v.bad {
+	if v := compareVersions(old, sumCounts(newCounts, nil), errorThreshold.divided(samples), latencyThreshold.divided(samples)); v.bad {
 		return verdict{bad: true, suspect: true, reason: v.reason}
 	}
 	return verdict{suspect: true, reason: total.reason}
@@ -277,9 +284,8 @@
 	var newTotal, oldTotal sample
 	var newSlow, newTimed, oldSlow, oldTimed uint64
 	// Each route is a further chance of a false verdict.
-	routeErrorLimit, routeLatencyLimit := errorLimit, latencyLimit
-	routeErrorLimit.maxProbability /= float64(len(newVersion))
-	routeLatencyLimit.maxProbability /= float64(len(newVersion))
+	routes := float64(len(newVersion))
+	routeErrorLimit, routeLatencyLimit := errorLimit.divided(routes), latencyLimit.divided(routes)
 	for _, s := range oldVersion {
 		oldTotal.responses += s.responses
 		oldTotal.errors += s.errors
--- a/thmove/verdict_test.go
+++ b/thmove/verdict_test.go
@@ -33,7 +33,7 @@
 	bad := 0
 	for range tries {
 		counts := append(randomCounts(random, "old", oldCount, oldRate), randomCounts(random, "new", newCount, newRate)...)
-		if judge(counts, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{}).bad {
+		if judge(counts, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{}, 1).bad {
 			bad++
 		}
 	}
@@ -74,7 +74,7 @@
 		}
 		oldCounts, newCounts := oldVersion.count(now, time.Second), newVersion.count(now, time.Second)
 		oldCounts.Pool, newCounts.Pool = "old", "new"
-		v := judge([]thwire.ServerCounts{oldCounts, newCounts}, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{})
+		v := judge([]thwire.ServerCounts{oldCounts, newCounts}, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{}, 1)
 		assert.Assert(t, v.bad, "usual latency %s", usual)
 	}
 }
@@ -90,3 +90,18 @@
 		}
 	}
 }
+
+// Guards against good versions that are reverted in a long rollout, since each further
+// sample is a chance of a false verdict.
+func TestLongRolloutAllowsForItsSamples(t *testing.T) {
+	counts := []thwire.ServerCounts{
+		{Pool: "old", Server: "a", Answers: 9361, Errors: 157, Latency: []uint64{9204}},
+		{Pool: "new", Server: "b", Answers: 689, Errors: 27, Latency: []uint64{662}},
+	}
+	for span, bad := range map[time.Duration]bool{15 * time.Second: true, time.Minute: false} {
+		s := schedule{time.Unix(0, 0), time.Unix(0, 0).Add(span)}
+		v := judge(counts, "old", "new", []grouping{{groupOf: serverOf}}, &routeSamples{}, s.samples())
+		assert.Equal(t, v.bad, bad, "%s: %+v", span, v)
+		assert.Assert(t, v.suspect)
+	}
+}
