Test a new version under load as late as its deadline allows

Cause: the load tests followed each other as soon as their outcomes were known, at about half of the time of the order. What a version does in the other half was not tested before it got all traffic. Class: evidence that is older than the decision.

Ruled out: a part of the limit kept for the last step. Half a second at all traffic is more than what is left of it in short orders.

Change: the last load test begins as late as its longest time, the usual time of the slowest calls, the ticks of the coordinator and the commit allow.

--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -178,7 +178,7 @@
 	next := step.number + 1
 	switch {
 	case t.bad.Load() || v.servers[t.move.Name] == 0,
-		next > min(t.schedule.maxStep(now), lastStep),
+		next > min(t.schedule.maxStep(now, t.fleetBaseline.slowest()), lastStep),
 		!t.hasSettled(now) || !t.evidence.isEnough(sent),
 		t.suspect && next >= firstLoadTest:
 		return
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -390,6 +390,27 @@
 	}
 }
 
+// Guards against a version that turns bad after its load tests have passed, while there is
+// time left: it then gets all traffic until the verdict.
+func TestVersionBadAfterEarlyTestStaysWithinExposure(t *testing.T) {
+	for _, span := range shortAndLong {
+		for seed := range int64(20) {
+			t.Run(fmt.Sprintf("%s, seed %d", span, seed), func(t *testing.T) {
+				t.Parallel()
+				r := newRollout(seed, modelledTraffic, span)
+				r.poisson, r.retries = true, 1
+				r.respond = func(r *rollout, c *modelCall, _ int) {
+					if c.begin.Sub(r.start) > 6*span/10 && r.random.Float64() < 0.4 {
+						c.status = 500
+					}
+				}
+				r.play(r.span + 5*time.Second)
+				r.requireWithinExposure(t)
+			})
+		}
+	}
+}
+
 // outageCommitter fails until the platform returns.
 type outageCommitter struct {
 	committer
--- a/thmove/schedule.go
+++ b/thmove/schedule.go
@@ -39,6 +39,9 @@
 	// minLoadTest is the shortest load test: in less time a server gets too few calls to
 	// reach the load of the step.
 	minLoadTest = 300 * time.Millisecond
+	// finalSlack is the time for the ticks of the coordinator between the last load test
+	// and the end.
+	finalSlack = 5 * tickInterval
 	// maxFinalOutcomeWait limits the wait for the outcome of the last load test.
 	maxFinalOutcomeWait = 3 * time.Second
 	// plannedExposure is the fraction of the allowed calls that the steps plan with.
@@ -79,18 +82,37 @@
 }
 
 // maxStep returns the highest step that the schedule allows at now, and -1 before the
-// start. Load tests follow each other as soon as their outcome is known.
-func (s schedule) maxStep(now time.Time) int {
+// start. The last load test comes as late as the deadline allows, given the time of the
+// slowest usual calls: a version may turn bad at any time.
+func (s schedule) maxStep(now time.Time, slowest time.Duration) int {
 	elapsed := now.Sub(s.start)
 	if elapsed < 0 {
 		return -1
 	}
-	if step := int(elapsed / max(s.stepDuration(), 1)); step < firstLoadTest {
+	step := int(elapsed / max(s.stepDuration(), 1))
+	switch {
+	case step < firstLoadTest:
 		return step
+	case now.Before(s.deadline.Add(-s.finalTime(slowest))):
+		return firstLoadTest
 	}
 	return lastStep
 }
 
+// finalTime returns the time that is reserved for the last load test, its outcome and the
+// last step, in which the calls of the old version end.
+func (s schedule) finalTime(slowest time.Duration) time.Duration {
+	return s.longestTest(finalLoadTest) + 2*min(slowest, maxFinalOutcomeWait) + finalSlack + completionReserve
+}
+
+// longestTest returns the longest time that a load test may take.
+func (s schedule) longestTest(step int) time.Duration {
+	if step == finalLoadTest {
+		return max(s.fraction(maxFinalTestFraction), minLoadTest)
+	}
+	return max(s.fraction(maxLoadTestFraction), minLoadTest)
+}
+
 // minDwell returns the minimum time at a step before the load tests, which is needed to
 // observe the new version at the share of the step. A delayed move may take its remaining
 // steps at this interval.
@@ -145,10 +167,7 @@
 // planLoadTest plans a load test so that it, the later ones and the traffic between them
 // stay within the limit.
 func (s schedule) planLoadTest(step int, now time.Time, limit ExposureLimit, sent sentCalls) loadTest {
-	longest := max(s.fraction(maxLoadTestFraction), minLoadTest)
-	if step == finalLoadTest {
-		longest = max(s.fraction(maxFinalTestFraction), minLoadTest)
-	}
+	longest := s.longestTest(step)
 	rate := float64(sent.all()) / max(now.Sub(s.start), time.Second).Seconds()
 	if rate == 0 {
 		return loadTest{lasts: longest}
