Let a coordinator that takes over use the reports that it has

What callers saw: nothing; the operator saw good versions that were not done in time.

Cause: a new coordinator waits 2.25 s, the time of a report of the longest window. From the first load test on, all windows are reported at every tick.

Change: from then on it waits for three ticks.

--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -229,11 +229,15 @@
 // this daemon has been the coordinator since the start of the move, or for as long as the
 // reports of all windows take.
 func (t *track) hasSettled(now time.Time) bool {
+	step := t.currentStep()
+	reportTime := (longestWindowTicks + 1) * tickInterval
+	if step.number >= firstLoadTest {
+		reportTime = 3 * tickInterval // all windows are reported at every tick
+	}
 	sinceStart := t.coordinatorSince.Sub(t.schedule.start) <= 2*tickInterval
-	if !sinceStart && now.Sub(t.coordinatorSince) < (longestWindowTicks+1)*tickInterval {
+	if !sinceStart && now.Sub(t.coordinatorSince) < reportTime {
 		return false
 	}
-	step := t.currentStep()
 	dwell := max(t.schedule.minDwell(), 2*tickInterval)
 	if isLoadTest(step.number) {
 		dwell = step.lasts + tickInterval
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -390,6 +390,28 @@
 	}
 }
 
+// Guards against a good version that misses its deadline because the coordinator has left
+// after the last load test, and the next one waits for reports that it has.
+func TestCoordinatorThatTakesOverCompletesOnTime(t *testing.T) {
+	for seed := range int64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			r := newRollout(seed, modelledTraffic, 15*time.Second)
+			coordinator, _ := fakeMembership{fleet: r.fleet}.First("move/slots-1", r.members)
+			for r.movers[coordinator.Name].Statuses()[0].Step < finalLoadTest {
+				r.play(tickInterval)
+				assert.Assert(t, r.clock.Since(r.start) < r.span)
+			}
+			r.play(1500 * time.Millisecond)
+			delete(r.movers, coordinator.Name)
+			r.members = slices.DeleteFunc(slices.Clone(r.members), func(m thwire.Member) bool { return m.Name == coordinator.Name })
+			r.update()
+			r.play(r.span - r.clock.Since(r.start))
+			assert.Equal(t, r.state(), thconfig.MoveDone)
+		})
+	}
+}
+
 // Guards against a version that turns bad after its load tests have passed, while there is
 // time left: it then gets all traffic until the verdict.
 func TestVersionBadAfterEarlyTestStaysWithinExposure(t *testing.T) {
