Repeat the commit of an end without waiting for an attempt in progress

What callers saw: nothing yet.

Change: an attempt may take 5 s again, and the next one begins a second after it, whether it has ended or not. Attempts are conditional, so a second one changes nothing. There is no new verdict while one is in progress.

TestEndDoesNotWaitForSilentAttempt; it can't be built on the code before.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -83,7 +83,7 @@
 	late               bool          // made by a retrying client whose latency objective has passed
 	parentHasResponses bool          // nested call whose parent call has got responses to other ones
 	due                time.Time     // end of the latency objective; the deadline if there is none
-	latest             time.Time     // when the call is rejected if it can't have been served by then
+	serveBy            time.Time     // the call is rejected when it can't be served by then
 	budget             time.Duration // maximum time for waiting and serving
 	done               chan struct{} // closed when the call is admitted or rejected
 	err                error         // nil if admitted
@@ -167,7 +167,7 @@
 		t.due = now.Add(goal)
 		t.budget = max(time.Duration(objectiveFraction*float64(goal)), min(left/2, minObjectiveBudget))
 	}
-	t.latest = now.Add(max(t.budget, time.Duration(lateFraction*float64(left))))
+	t.serveBy = now.Add(max(t.budget, time.Duration(lateFraction*float64(left))))
 	return t
 }
 
@@ -203,7 +203,7 @@
 	for i := from; i < len(s.queue); i++ {
 		t := s.queue[i]
 		wait := s.estimateWait(i, now)
-		if now.Add(wait + s.serviceTime(t.route)).Before(t.latest) {
+		if now.Add(wait + s.serviceTime(t.route)).Before(t.serveBy) {
 			continue
 		}
 		t.err = s.fullError(wait)
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -133,9 +133,10 @@
 
 // coordinate performs the work of the coordinator: it evaluates the reports, raises the
 // step or marks the new version as bad, and commits the end of the move. There is no
-// verdict while the end is being committed, as it could contradict that end.
+// verdict once that has begun, as it could contradict the end.
 func (m *Mover) coordinate(ctx context.Context, v *view, t *track, now time.Time) {
-	if t.finishing {
+	if t.commits > 0 {
+		m.finish(ctx, t, now, t.commitState, t.commitReason)
 		return
 	}
 	if !t.bad.Load() {
@@ -285,34 +286,34 @@
 	return now.After(t.schedule.deadline.Add(-completionReserve))
 }
 
-// finish commits the end of a move in a goroutine; later ticks retry it with backoff
-// while the platform is unavailable. The commit is conditional on the move's state, so
-// that a second or delayed coordinator changes nothing. The committed end is flooded to
-// all daemons.
+// finish commits the end of a move in a goroutine; later ticks repeat it until it
+// succeeds. The commit is conditional on the move's state, so that a second or delayed
+// attempt or coordinator changes nothing. The committed end is flooded to all daemons.
 func (m *Mover) finish(ctx context.Context, t *track, now time.Time, state, reason string) {
-	if now.Before(t.nextFinish) {
+	if now.Before(t.nextCommit) {
 		return
 	}
-	t.finishing = true
+	t.commits++
+	t.commitState, t.commitReason, t.nextCommit = state, reason, now.Add(commitInterval)
 	move := t.move
 	m.work.Add(1)
 	go func() {
 		defer m.work.Done()
-		c, cancel := context.WithTimeout(ctx, finishTimeout)
+		c, cancel := context.WithTimeout(ctx, commitTimeout)
 		defer cancel()
 		end, err := m.EndCommitter.CommitEnd(c, move, state, reason)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		t.finishing = false
-		t.finishBackoff = min(max(2*t.finishBackoff, minFinishBackoff), maxFinishBackoff)
-		t.nextFinish = m.Clock.Now().Add(t.finishBackoff)
-		if err != nil {
-			m.Log.Warn("end of move not committed", "move", t.move.Name, "state", state, "error", err, "retry", t.finishBackoff)
-			return
-		}
-		m.Log.Info("end of move committed", "move", t.move.Name, "state", end, "verdict", state)
-		if v := m.view.Load(); end != "" && v != nil {
-			m.publish(v, m.Clock.Now(), thwire.MoveState{Move: t.move.Name, Step: t.currentStep().number, End: end})
+		t.commits--
+		switch v := m.view.Load(); {
+		case t.end.Load() != nil: // another attempt has succeeded
+		case err != nil:
+			m.Log.Warn("end of move not committed", "move", t.move.Name, "state", state, "error", err, "interval", commitInterval)
+		default:
+			m.Log.Info("end of move committed", "move", t.move.Name, "state", end, "verdict", state)
+			if end != "" && v != nil {
+				m.publish(v, m.Clock.Now(), thwire.MoveState{Move: t.move.Name, Step: t.currentStep().number, End: end})
+			}
 		}
 	}()
 }
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -436,13 +437,10 @@
 // outageCommitter fails until the platform returns.
 type outageCommitter struct {
 	committer
-	returns  time.Time
-	deadline time.Duration // until the deadline of the last attempt
+	returns time.Time
 }
 
-func (o *outageCommitter) CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (string, error) {
-	deadline, _ := ctx.Deadline()
-	o.deadline = time.Until(deadline)
+func (o outageCommitter) CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (string, error) {
 	if o.rollout.clock.Now().Before(o.returns) {
 		return "", therror.New(therror.Down, "platform is down")
 	}
@@ -450,21 +448,55 @@
 }
 
 // Guards against an end that is committed long after the platform has returned, since the
-// pauses between attempts have grown meanwhile, or an attempt made before gets no response.
+// pauses between attempts have grown meanwhile.
 func TestEndIsCommittedSoonAfterOutage(t *testing.T) {
 	const outage, within = 20 * time.Second, 2 * time.Second
 	r := newRollout(1, 150, 30*time.Second)
 	r.respond = func(_ *rollout, c *modelCall, _ int) { c.status = 500 }
-	var committers []*outageCommitter
 	for _, m := range r.movers {
-		c := &outageCommitter{committer: m.EndCommitter.(committer), returns: r.start.Add(outage)}
-		committers, m.EndCommitter = append(committers, c), c
+		m.EndCommitter = outageCommitter{m.EndCommitter.(committer), r.start.Add(outage)}
 	}
 	r.play(outage + within)
 	assert.Equal(t, r.state(), thconfig.MoveReverted)
-	for _, c := range committers {
-		assert.Assert(t, c.deadline <= within/2, "an attempt may take %s", c.deadline)
+}
+
+// silentCommitter gets no response to its first attempt.
+type silentCommitter struct {
+	committer
+	attempts *atomic.Int32
+}
+
+func (s silentCommitter) CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (string, error) {
+	if s.attempts.Add(1) == 1 {
+		<-ctx.Done()
+		return "", therror.Wrap(therror.Unknown, ctx.Err(), "no response")
+	}
+	return s.committer.CommitEnd(ctx, move, state, reason)
+}
+
+// Guards against an end that waits for the time-out of an attempt that was made while the
+// platform was away, although the platform has returned.
+func TestEndDoesNotWaitForSilentAttempt(t *testing.T) {
+	r := newRollout(1, 150, 30*time.Second)
+	coordinator, _ := fakeMembership{fleet: r.fleet}.First("move/slots-1", r.members)
+	m := r.movers[coordinator.Name]
+	m.EndCommitter = silentCommitter{m.EndCommitter.(committer), &atomic.Int32{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer m.work.Wait()
+	defer cancel()
+	m.tick(ctx)
+	fakeMembership{r.fleet, coordinator}.MergeMoveState(thwire.MoveState{Move: "slots-1", Bad: true})
+	m.tick(ctx)
+	r.clock.Advance(commitInterval)
+	m.tick(ctx)
+	ended := func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.commits) > 0
+	}
+	for start := time.Now(); !ended() && time.Since(start) < commitTimeout/2; time.Sleep(time.Millisecond) {
 	}
+	assert.DeepEqual(t, r.commits, []string{thconfig.MoveReverted})
 }
 
 // Guards against a share that grows without evidence: no call to the new version is
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -44,12 +44,11 @@
 	// every second tick. The reports of a server cost the coordinator about 0.9 KB/s, of
 	// the 18 KB/s allowed for a daemon.
 	smallMoveServers = 12
-	// finishTimeout and maxFinishBackoff bound the time between the return of a platform
-	// that was away and the commit of the end: an attempt that began before may get no
-	// response. Only the coordinator attempts it.
-	finishTimeout    = time.Second
-	minFinishBackoff = 500 * time.Millisecond
-	maxFinishBackoff = time.Second
+	// commitInterval is the time between attempts to commit the end of a move. An attempt
+	// doesn't wait for the one before, which may get no response if the platform was away
+	// when it began. Only the coordinator makes them.
+	commitInterval = time.Second
+	commitTimeout  = 5 * time.Second // of one attempt
 
 	evidenceLogInterval = time.Second
 
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -47,9 +47,10 @@
 	// order of view.groupings. They are nil on a coordinator that took over since then.
 	outliers       []map[string]bool
 	evidenceLogged time.Time // when the coordinator last logged the evidence
-	finishing      bool      // a commit of the end is in progress
-	nextFinish     time.Time // earliest time of the next commit attempt
-	finishBackoff  time.Duration
+	commits        int       // attempts to commit the end that are in progress
+	commitState    string    // of these attempts
+	commitReason   string
+	nextCommit     time.Time // earliest time of the next attempt
 }
 
 // moveStep is the step of a move on this daemon.
--- a/thproof/restored_test.go
+++ b/thproof/restored_test.go
@@ -1,7 +1,6 @@
 package thproof
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -81,35 +80,22 @@
 // the store has come back from a copy without its end; also where the order had to be
 // written again and has another version.
 func TestEndOfRolloutSurvivesRestore(t *testing.T) {
-	const order = `{"service":"page","target":"v2","duration_s":6}`
 	for _, lost := range []bool{false, true} { // the order is lost too
 		t.Run(fmt.Sprintf("orderLost=%v", lost), func(t *testing.T) {
-			h := &hostedFleet{t: t, size: 3, newVersions: 1, slots: 20, processingTime: 5 * time.Millisecond}
-			h.startNodes()
-			h.configure(1)
-			h.waitServing()
+			h := newRolloutFleet(t)
 			c := h.store.Copy()
 			h.store.Put("op", "", "evacuate/elsewhere", []byte(`{}`)) // the order's version is given out again
-			h.store.Put("op", "", "rollout/page", []byte(order))
+			h.orderRollout()
 			if !lost {
 				c = h.store.Copy()
 			}
-			ctx, cancel := context.WithCancel(t.Context())
-			var traffic randomTraffic
-			traffic.start(ctx, h.nodes, 150)
-			completed := func() bool {
-				row, found := h.store.Row("status", "", "rollout/page")
-				return found && string(row.Value) == `{"state":"completed","target":"v2"}`
-			}
-			waitUntil(t, "the rollout is completed", completed)
-			cancel()
-			traffic.clients.Wait()
+			h.completeRollout()
 			h.restore(c, time.Second, func() {
 				if lost {
-					h.store.Put("op", "", "rollout/page", []byte(order))
+					h.orderRollout()
 				}
 			})
-			waitUntil(t, "the end is written again", completed)
+			waitUntil(t, "the end is written again", h.isRolloutCompleted)
 			assert.Equal(t, h.countServed(h.nodes[0], "old")+h.countServed(h.nodes[1], "old"), 0)
 			h.configure(5, "later")
 			h.requireServed("later", applyBound)
@@ -122,22 +108,10 @@
 // with a store that came back from a copy without its end. The old version's backend servers
 // may be gone by then.
 func TestEndOfRolloutSurvivesRestoreAndRestart(t *testing.T) {
-	h := &hostedFleet{t: t, size: 3, newVersions: 1, slots: 20, processingTime: 5 * time.Millisecond}
-	h.startNodes()
-	h.configure(1)
-	h.waitServing()
-	h.store.Put("op", "", "rollout/page", []byte(`{"service":"page","target":"v2","duration_s":6}`))
+	h := newRolloutFleet(t)
+	h.orderRollout()
 	c := h.store.Copy()
-	ctx, cancel := context.WithCancel(t.Context())
-	var traffic randomTraffic
-	traffic.start(ctx, h.nodes, 150)
-	completed := func() bool {
-		row, found := h.store.Row("status", "", "rollout/page")
-		return found && string(row.Value) == `{"state":"completed","target":"v2"}`
-	}
-	waitUntil(t, "the rollout is completed", completed)
-	cancel()
-	traffic.clients.Wait()
+	h.completeRollout()
 	for _, n := range h.nodes[:2] { // the old version's servers leave
 		n.setState("")
 		assert.NilError(t, n.instance.Deregister())
@@ -152,7 +126,7 @@
 	for end := time.Now().Add(applyBound); time.Now().Before(end); {
 		assert.Equal(t, h.countServed(h.nodes[2], fmt.Sprint("restored", time.Now().UnixNano())), 30)
 	}
-	waitUntil(t, "the end is written again", completed)
+	waitUntil(t, "the end is written again", h.isRolloutCompleted)
 	assert.Equal(t, h.countServed(h.nodes[2], "ended"), 30)
 }
 
