Bind an ingress by the departure that a response has stated to it

An ingress returned a response in which the backend server states that it is leaving, and relied on the daemon beside the server to announce that. If that daemon is killed before its announcement has left, and the store is down, the new process takes heartbeats that still say ready, and the ingress sends new calls to the server until the next response.

Cause: knowledge in one process, as with the stated limit.

Ruled out: the announcement usually leaves before the response does, so TestStatedLeavingIsKeptWithoutStore passes without this change; no test with real processes hits the gap of a few microseconds.

Change: the ingress records the departure of the instance when the header of its response arrives, in the same place as announced ones, so it chooses the instance no more and tells the daemon beside it.

After: thproxy and thdaemon pass.

--- a/thdaemon/departed.go
+++ b/thdaemon/departed.go
@@ -10,7 +10,7 @@
 )
 
 // departedInstances remembers the backend server instances that members have announced
-// as leaving. A daemon that starts again forgets the departure of its server, and reads
+// as leaving, or that have stated it in a response. A daemon that starts again forgets the departure of its server, and reads
 // it from the store only while that is available; the other daemons know it from the
 // member record of the daemon's previous process.
 type departedInstances struct {
@@ -48,6 +48,17 @@
 	return corrected, unaware
 }
 
+// record remembers a departure and returns false if it is known already.
+func (d *departedInstances) record(key thwire.Departure, now time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if at, found := d.known[key]; found && now.Sub(at) < thstore.DepartureTTL {
+		return false
+	}
+	d.add(key, now)
+	return true
+}
+
 // add remembers a departure and removes expired ones; the mutex is held.
 func (d *departedInstances) add(key thwire.Departure, now time.Time) {
 	if d.known == nil {
@@ -63,6 +74,19 @@
 	d.known[key] = now
 }
 
+// observeLeaving remembers that the backend server of a member has stated in a response that
+// it is leaving, and stops choosing it.
+func (d *Daemon) observeLeaving(m *thwire.Member) {
+	if m.Server == nil || m.Server.Instance == "" {
+		return
+	}
+	departure := thwire.Departure{Instance: m.Server.Instance, Born: m.Server.Born}
+	if d.departed.record(departure, d.Clock.Now()) {
+		d.Log.Info("instance states that it is leaving", "instance", departure.Instance, "member", m.Name)
+		d.updater.schedule()
+	}
+}
+
 // correctMembers returns the members with the state of departed instances corrected, and
 // tells neighbours whose server has departed so.
 func (d *Daemon) correctMembers(members []thwire.Member) []thwire.Member {
--- a/thdaemon/departed_test.go
+++ b/thdaemon/departed_test.go
@@ -37,3 +37,18 @@
 	check("", 0, thwire.ServerLeaving, now, thwire.ServerLeaving, 0)
 	check("", 0, thwire.ServerReady, now, thwire.ServerReady, 0) // instances without ids aren't told apart
 }
+
+// Guards against an ingress that goes on choosing an instance which has stated in a response
+// that it is leaving, when the daemon beside it has been killed before it could announce that.
+func TestStatedDepartureBindsTheIngress(t *testing.T) {
+	var d departedInstances
+	now := time.Unix(1000, 0)
+	key := thwire.Departure{Instance: "i-1", Born: 5}
+	assert.Assert(t, d.record(key, now))
+	assert.Assert(t, !d.record(key, now.Add(time.Second)), "recorded twice")
+	ready := []thwire.Member{{Name: "a", Server: &thwire.Server{Instance: "i-1", Born: 5, State: thwire.ServerReady}}}
+	corrected, unaware := d.apply(ready, now.Add(time.Second))
+	assert.Equal(t, corrected[0].Server.State, thwire.ServerLeaving)
+	assert.Equal(t, len(unaware), 1)
+	assert.Assert(t, d.record(key, now.Add(thstore.DepartureTTL)))
+}
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -291,12 +292,25 @@
 	result.Latency = c.now().Sub(start)
 	if err == nil {
 		result.Status = head.Status
+		c.reportLeaving(m, &head)
 		err = c.relayResponse(u, &head)
 	}
 	result.Load, result.HasLoad = u.Load()
 	return err
 }
 
+// reportLeaving calls OnLeaving if the backend server of the member states in a response that
+// it is leaving. The daemon beside it may end before the other daemons have learned that.
+func (c *call) reportLeaving(m *thwire.Member, head *thwire.Head) {
+	name := headersOrDefault(c.Headers).Leaving
+	if c.OnLeaving == nil || name == "" {
+		return
+	}
+	if slices.Contains(head.Header, thwire.Header{Name: name, Value: headerValueLeaving}) {
+		c.OnLeaving(m)
+	}
+}
+
 // closeStream cancels a stream. The target stops working on the call if its
 // response is not complete.
 func (c *call) closeStream(u upstream) {
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -117,7 +117,10 @@
 	Ready    func() bool // nil means always ready
 	// TimeLeft returns the time until this daemon ends; false while it does not stop, or
 	// still accepts all calls. It may be nil.
-	TimeLeft     func() (time.Duration, bool)
+	TimeLeft func() (time.Duration, bool)
+	// OnLeaving is called with the member whose backend server states in a response that it
+	// is leaving; it may be nil.
+	OnLeaving    func(m *thwire.Member)
 	Metrics      Metrics      // nil disables metrics
 	Headers      *Headers     // nil means the default names
 	LocalService string       // service of the local backend server, sent in Headers.Caller
