Send a new coordinator of a move all reports at once

Cause: the daemon beside a server of the new version started with the rollout and became its coordinator after 0.7 s. A new coordinator waited 2.25 s before the first step, since the reports of the longest window come every two seconds.

Ruled out: the start and slots of the new servers; evidence short of the step.

Change: a daemon that sees another coordinator sends it the reports of all windows with the next tick, so a coordinator waits for three ticks at each step, as it did from the first load test on.

--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -94,15 +94,18 @@
 // grows with the size of the pools instead of the size of the fleet.
 func (m *Mover) report(t *track, now time.Time, self thwire.Member, coordinator string) {
 	oldTotals, newTotals := t.served[0].currentTotals(), t.served[1].currentTotals()
+	all := m.ticks%longestWindowTicks == 0 || t.coordinator != coordinator
+	t.coordinator = coordinator
 	for i, w := range windows {
-		if i == lastWindow && m.ticks%longestWindowTicks != 0 && t.currentStep().number < firstLoadTest {
+		if i == lastWindow && !all && t.currentStep().number < firstLoadTest {
 			continue
 		}
-		m.sendReport(t, now, coordinator, thwire.Report{
+		r := thwire.Report{
 			Move: t.move.Name, Source: self.Name, Window: i, Counts: t.targetCounts(now, w, self.Name),
 			OldSent: oldTotals.sent, NewSent: newTotals.sent, OldActive: oldTotals.active, NewAnswered: newTotals.answered,
 			Age: now.Sub(t.move.Start),
-		})
+		}
+		m.sendReport(t, now, coordinator, r)
 	}
 }
 
@@ -231,10 +234,6 @@
 // reports of all windows take.
 func (t *track) hasSettled(now time.Time) bool {
 	step := t.currentStep()
-	reportTime := (longestWindowTicks + 1) * tickInterval
-	if step.number >= firstLoadTest {
-		reportTime = 3 * tickInterval // all windows are reported at every tick
-	}
 	sinceStart := t.coordinatorSince.Sub(t.schedule.start) <= 2*tickInterval
 	if !sinceStart && now.Sub(t.coordinatorSince) < reportTime {
 		return false
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -40,6 +40,9 @@
 const (
 	tickInterval       = 250 * time.Millisecond // interval of the Mover's loop
 	longestWindowTicks = 8                      // ticks between reports of the longest window
+	// reportTime is the time in which a new coordinator gets the reports of all windows. The
+	// other daemons send them when they have learned of it.
+	reportTime = 3 * tickInterval
 	// With more than smallMoveServers servers in both pools together, targets report at
 	// every second tick. The reports of a server cost the coordinator about 0.9 KB/s, of
 	// the 18 KB/s allowed for a daemon.
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -41,6 +41,7 @@
 	evidence         stepEvidence         // used by the coordinator
 	sent             sentReports          // used by the coordinator
 	reportedTo       [len(windows)]string // by window: daemon that got the last report, if it wasn't empty
+	coordinator      string               // at the last report of this daemon
 	localBaseline    routeSamples         // for ingressCounters
 	fleetBaseline    routeSamples         // for reports
 	// outliers are the groups of the new version that were bad before the load tests, in the
