Count the time of a rollout from the first daemon that has read its order

Cause: a move counts its time from when the daemons that send reports have learned of it. Daemons whose servers belong to another service send none, and the readers, which learn of it first, may all be such; the others had learned of it 0.3 s later. In the model 1.5 s of such delay lose the deadline.

Ruled out: the delay between the order and the readers (18 ms).

Change: readers send a report without counts at first and every two seconds, as the coordinator may learn of the move after them.

--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -36,7 +36,7 @@
 	// The backend server sends heartbeats by itself and needs no monitor.
 	d.replica, d.gate, d.background = follower, schedulerGate{scheduler}, restored
 	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat), rowplatform.ReadinessHandler(d.notReadyReasons)
-	d.mover.EndCommitter = rolloutReporter{d.platform.rows}
+	d.mover.EndCommitter, d.mover.IsReader = rolloutReporter{d.platform.rows}, follower.IsReader
 	d.target.Headers, d.transport.Headers = rowplatform.Headers(), rowplatform.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
 		e := registry.Current()
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -91,7 +91,8 @@
 
 // report sends the counts of the local backend server to the coordinator. Only daemons
 // whose servers belong to the two pools have counts, so that the coordinator's load
-// grows with the size of the pools instead of the size of the fleet.
+// grows with the size of the pools instead of the size of the fleet. Readers report without
+// counts too, since they know when the move began.
 func (m *Mover) report(t *track, now time.Time, self thwire.Member, coordinator string) {
 	oldTotals, newTotals := t.served[0].currentTotals(), t.served[1].currentTotals()
 	all := m.ticks%longestWindowTicks == 0 || t.coordinator != coordinator
@@ -105,20 +106,21 @@
 			OldSent: oldTotals.sent, NewSent: newTotals.sent, OldActive: oldTotals.active, NewAnswered: newTotals.answered,
 			Age: now.Sub(t.move.Start),
 		}
-		m.sendReport(t, now, coordinator, r)
+		required := i == 0 && all && m.IsReader != nil && m.IsReader()
+		m.sendReport(t, now, coordinator, r, required)
 	}
 }
 
 // sendReport sends a report, or stores it if this daemon is the recipient. Of
 // consecutive empty reports only the first one is sent, which replaces the previous
-// report of this daemon.
-func (m *Mover) sendReport(t *track, now time.Time, to string, r thwire.Report) {
+// report of this daemon, and those that are required.
+func (m *Mover) sendReport(t *track, now time.Time, to string, r thwire.Report, required bool) {
 	if to == r.Source {
 		t.putReport(now, r)
 		return
 	}
 	empty := len(r.Counts) == 0 && r.OldActive == 0
-	if empty && t.reportedTo[r.Window] != to {
+	if empty && t.reportedTo[r.Window] != to && !required {
 		return
 	}
 	t.reportedTo[r.Window] = to
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -66,8 +66,11 @@
 	Membership   Membership
 	EndCommitter EndCommitter
 	Exposure     ExposureLimit
-	Clock        clockwork.Clock
-	Log          hclog.Logger
+	// IsReader reports whether this daemon reads orders from where operators write them,
+	// and so learns of moves before the others; nil means no.
+	IsReader func() bool
+	Clock    clockwork.Clock
+	Log      hclog.Logger
 
 	view   atomic.Pointer[view]
 	mu     sync.Mutex // guards ticks and the tracks; the request path doesn't lock it
