Commit the end of a move half a second before its deadline

The reserve of 500 ms left 250 to 500 ms, as the end is begun with a tick of 250 ms.

Change: a reserve of 750 ms. The time for ticks between the last load test and the end is one tick shorter, so the last load test begins as late as before.

TestEndIsCommittedBeforeOperatorsLook: before, 2 of 20 runs end less than 500 ms before the deadline; after, none.

--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -56,8 +56,9 @@
 	evidenceLogInterval = time.Second
 
 	// completionReserve is the time before the deadline that is left for committing the
-	// end of a move.
-	completionReserve = 500 * time.Millisecond
+	// end of a move: a tick, and the time until operators who look at its state twice a
+	// second see it.
+	completionReserve = 750 * time.Millisecond
 )
 
 // Mover runs the moves on one daemon. Set the exported fields before Start; nil is
--- a/thmove/schedule.go
+++ b/thmove/schedule.go
@@ -41,7 +41,7 @@
 	minLoadTest = 300 * time.Millisecond
 	// finalSlack is the time for the ticks of the coordinator between the last load test
 	// and the end.
-	finalSlack = 5 * tickInterval
+	finalSlack = 4 * tickInterval
 	// maxFinalOutcomeWait limits the wait for the outcome of the last load test.
 	maxFinalOutcomeWait = 3 * time.Second
 	// plannedExposure is the fraction of the allowed calls that the steps plan with.
--- a/thmove/start_test.go
+++ b/thmove/start_test.go
@@ -60,3 +60,20 @@
 		}
 	}
 }
+
+// Guards against an end that is committed in time, but so late that operators, who look at the
+// state of a rollout twice a second, see it after the deadline.
+func TestEndIsCommittedBeforeOperatorsLook(t *testing.T) {
+	const lookInterval = 500 * time.Millisecond
+	for _, span := range []time.Duration{8 * time.Second, 9 * time.Second, 12130 * time.Millisecond, 14163 * time.Millisecond} {
+		for seed := range int64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", span, seed), func(t *testing.T) {
+				t.Parallel()
+				r := newRollout(seed, modelledTraffic, span)
+				r.routes = []modelRoute{{name: "slots", work: 160 * time.Millisecond}, {name: "bookings", work: 400 * time.Millisecond}}
+				r.play(span - lookInterval)
+				assert.Equal(t, r.state(), thconfig.MoveDone)
+			})
+		}
+	}
+}
