Keep the limit of concurrent calls on a busy machine

Cause: the limiter takes a round of calls whose mean latency is 1.3, 2 or 3 times the usual one for overload or a cold server. For calls of 2 ms these are 0.6 to 4 ms, which calls of a busy machine wait for a processor: all calls of a round do so together, so the test against the spread within rounds does not help. Two such rounds restart the limiter at a tenth of the slots.

TestStopLeavesLongStreams failed beside 12 busy processes (8 of 48 streams answered 503) with limits of 6, 20 and 6 after its warm-up.

Ruled out: load reports of the servers, errors (none in these runs).

Change: an increase of less than 5 ms says nothing about overload. Servers with calls of that length have more when they are overloaded by all of their slots.

--- a/thadmit/limiter.go
+++ b/thadmit/limiter.go
@@ -24,6 +24,9 @@
 	// baseline, in standard errors. With a fixed factor alone, normal rounds of a
 	// mix of fast and slow calls were treated as overload.
 	minStandardErrors = 2.5
+	// minDelay is the least increase of the latency that indicates overload. Calls on a busy
+	// machine wait for a processor for several milliseconds.
+	minDelay = 5 * time.Millisecond
 	// Fast errors lower the limit only if a round has at least minFailures of them
 	// and they are at least 1/failureDivisor of its calls: fewer errors indicate a
 	// failing dependency or bad requests, not overload. When every error lowered
@@ -140,7 +143,8 @@
 // isAboveBaseline reports whether the average of n calls exceeds the baseline by
 // more than factor and by a statistically significant amount.
 func (l *limiter) isAboveBaseline(average, factor, n float64) bool {
-	return l.hasBaseline && average-l.baseline > max(factor, minStandardErrors*math.Sqrt(l.variance/n))
+	return l.hasBaseline && average-l.baseline > max(factor, minStandardErrors*math.Sqrt(l.variance/n)) &&
+		math.Exp(average)-math.Exp(l.baseline) > float64(minDelay)
 }
 
 // endRound evaluates the current round and starts the next one. A round is strained
