Let the next daemons write a lost end of a rollout too

Operators would not see the end of a rollout: it is lost when the store comes back from a copy, and only its coordinator writes it again. If that daemon is lost at the same time, the others still take it for alive when they learn of the return, and nobody writes.

Cause: a duty of one daemon that is assigned once, at a moment when the view of the members may be out of date.

Change: the first three daemons of the rendezvous order write the end, three seconds after each other; the store keeps the first one.

TestEndOfRolloutSurvivesRestoreAndLossOfCoordinator fails before (twice of two runs, not within 15 s) and passes after; the other tests of restores pass.

--- a/thdaemon/restored.go
+++ b/thdaemon/restored.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/thsync"
+	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
 // Limits of writing to a restored store.
@@ -18,11 +20,23 @@
 	restoreRetries    = 8
 	restoreRetryDelay = time.Second
 	restoreTimeout    = 3 * time.Second // of one attempt
+	// endWriters is the number of daemons that write the end of a rollout, each endWriterDelay
+	// after the one before, which may have been lost together with the end. The store keeps
+	// the first end.
+	endWriters     = 3
+	endWriterDelay = 3 * time.Second
 )
 
+// lostEnd is the end of a rollout that a restored store may lack.
+type lostEnd struct {
+	thconfig.Move // State is the state in which it ended
+
+	delay time.Duration // until this daemon writes it
+}
+
 // restoredStore writes to a store that has come back from a copy what this daemon wrote to
 // it before, as the copy may lack it: its announcement, the departure of its backend server,
-// and the ends of the rollouts that it coordinates.
+// and the ends of rollouts that it coordinates or would coordinate next.
 type restoredStore struct {
 	*Daemon
 
@@ -55,53 +69,47 @@
 		return
 	}
 	r.Log.Warn("writing to the restored store again", "generation", generation, "version", thconfig.VersionText(s.Tables.Version))
-	ends := r.coordinatedEnds(&s.Tables)
-	r.work.Go(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go func() {
-			select {
-			case <-r.stopped:
-				cancel()
-			case <-ctx.Done():
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-r.stopped
+		cancel()
+	}()
+	for _, end := range r.lostEnds(&s.Tables) {
+		r.work.Go(func() {
+			if r.wait(ctx, end.delay) {
+				r.commitEnd(ctx, end.Move)
 			}
-		}()
-		r.writeAgain(ctx, ends)
+		})
+	}
+	r.work.Go(func() {
+		if r.wait(ctx, rand.N(restoreSpread)) {
+			r.announcer.renewNow()
+			r.departures.storeAgain()
+		}
 	})
 }
 
-// coordinatedEnds returns the rollouts that have ended and that this daemon coordinates, with
-// the state in which they ended.
-func (r *restoredStore) coordinatedEnds(t *thconfig.Tables) []thconfig.Move {
+// lostEnds returns the ends of rollouts that this daemon writes.
+func (r *restoredStore) lostEnds(t *thconfig.Tables) []lostEnd {
 	ended := map[string]string{}
 	for _, state := range r.node.MoveStates() {
 		ended[state.Move] = state.End
 	}
 	self, live := r.node.Self().Name, membership{r.node}.Live()
-	var ends []thconfig.Move
+	var ends []lostEnd
 	for _, m := range t.Moves {
 		if m.State == thconfig.MoveRunning {
 			m.State = ended[m.Name]
 		}
-		first := thmember.Rendezvous("move/"+m.Name, live, 1)
-		if m.Order > 0 && m.State != "" && len(first) > 0 && first[0].Name == self {
-			ends = append(ends, m)
+		writers := thmember.Rendezvous("move/"+m.Name, live, endWriters)
+		rank := slices.IndexFunc(writers, func(w thwire.Member) bool { return w.Name == self })
+		if m.Order > 0 && m.State != "" && rank >= 0 {
+			ends = append(ends, lostEnd{Move: m, delay: time.Duration(rank) * endWriterDelay})
 		}
 	}
 	return ends
 }
 
-func (r *restoredStore) writeAgain(ctx context.Context, ends []thconfig.Move) {
-	for _, m := range ends {
-		r.commitEnd(ctx, m)
-	}
-	if !r.wait(ctx, rand.N(restoreSpread)) {
-		return
-	}
-	r.announcer.renewNow()
-	r.departures.storeAgain()
-}
-
 // commitEnd writes the end of a rollout; the store keeps one that it has.
 func (r *restoredStore) commitEnd(ctx context.Context, m thconfig.Move) {
 	for range restoreRetries {
--- a/thproof/restored_test.go
+++ b/thproof/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,6 +132,32 @@
 	assert.Equal(t, h.countServed(h.nodes[2], "ended"), 30)
 }
 
+// Guards against the end of a rollout that is lost with the store's latest rows because its
+// coordinator is lost with them: the others take it for alive when they learn of the return.
+func TestEndOfRolloutSurvivesRestoreAndLossOfCoordinator(t *testing.T) {
+	h := newRolloutFleet(t)
+	h.orderRollout()
+	c := h.store.Copy()
+	h.completeRollout()
+	coordinator := h.nodeWithLog("end of move committed")
+	h.restore(c, time.Second, coordinator.daemon.Kill)
+	waitUntil(t, "the end is written again", h.isRolloutCompleted)
+}
+
+// nodeWithLog returns the node whose daemon has logged a text.
+func (h *hostedFleet) nodeWithLog(text string) *hostedNode {
+	h.t.Helper()
+	for _, n := range h.nodes {
+		log, err := os.ReadFile(n.daemon.LogFile)
+		assert.NilError(h.t, err)
+		if strings.Contains(string(log), text) {
+			return n
+		}
+	}
+	h.t.Fatalf("no daemon has logged %q", text)
+	return nil
+}
+
 // Guards against an announcement and a departure that are lost with the store's latest rows:
 // daemons that start later would not find the others, and would use a server that has left.
 func TestDaemonsWriteToRestoredStoreAgain(t *testing.T) {
