Try full servers again for a call whose first attempt has broken

Cause: all calls that the frozen daemon holds break in the same instant, and try the only working server together. It rejects what exceeds slots and queue. Each rejection used up one of the four attempts, and took another retry out of the budget although the one before had not run.

Change: attempts that are rejected as full after one that may have reached a server don't count as attempts, up to six of them, with the pause that there is already; and a retry that was rejected is not taken out of the budget again. Calls that have reached no server fail as before, at once.

TestFullServerIsTriedAgainAfterFailure fails before (502).

--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -159,26 +159,30 @@
 }
 
 // takeRetry takes a retry out of the budget. With a RetryBudget, retries are free
-// until an attempt may have reached a backend server.
+// until an attempt may have reached a backend server. A retry that was rejected is not
+// taken again.
 func (c *call) takeRetry(b *routeBudget) bool {
-	switch {
-	case c.RetryBudget == nil && c.reached == 0:
-		return b.rejected.take(c.route.Retry, c.Clock)
-	case c.RetryBudget == nil:
-		return b.failed.take(c.route.Retry, c.Clock)
-	case c.reached == 0:
+	if c.RetryBudget == nil {
+		if c.reached == 0 || c.retryTaken {
+			return b.rejected.take(c.route.Retry, c.Clock)
+		}
+		c.retryTaken = b.failed.take(c.route.Retry, c.Clock)
+		return c.retryTaken
+	}
+	if c.reached == 0 || c.retryTaken {
 		return true
 	}
 	priority := c.route.Priority
 	if c.open.Begun {
 		priority = 0
 	}
-	return c.RetryBudget.TakeRetry(c.basePool, priority)
+	c.retryTaken = c.RetryBudget.TakeRetry(c.basePool, priority)
+	return c.retryTaken
 }
 
 // mayRetry reports whether a retry is allowed after err, apart from the budget.
 func (c *call) mayRetry(err error) bool {
-	if c.rejectedByAll || c.attempts >= maxAttempts || c.ctx.Err() != nil || !c.body.replayable() {
+	if c.rejectedByAll || c.attempts-c.rejections >= maxAttempts || c.rejections > maxRejections || c.ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
 	if c.route.Attempts > 0 && c.reached >= c.route.Attempts || c.checkTimeLeft() != nil {
@@ -246,6 +250,9 @@
 			c.RetryBudget.CountRetry(c.basePool)
 		}
 		c.reached++
+		c.retryTaken = false
+	} else if c.reached > 0 && therror.Is(err, therror.Full) {
+		c.rejections++
 	}
 	result.Kind, result.RetryAfter = therror.KindOf(err), therror.RetryAfter(err)
 	if err != nil {
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -25,7 +25,11 @@
 // Limits of a call.
 const (
 	maxCallDepth = 10 // largest value of Headers.Depth
-	maxAttempts  = 4  // includes the first attempt
+	maxAttempts  = 4  // includes the first attempt, and not those counted by maxRejections
+	// maxRejections is the maximum number of attempts that are rejected as full, of a call of
+	// which an earlier attempt may have reached a backend server. Many such calls try the same
+	// server at once when another one has failed.
+	maxRejections = 6
 )
 
 // Router returns the configuration version in effect and its route matcher. ok
@@ -148,6 +152,7 @@
 	baseHeaderCount int // headers of open without the attempt header
 	body            body
 	attempts        int
+	rejections      int // attempts that were rejected as full after one that may have reached a backend server
 	excluded        []string
 	failedServers   []string      // servers of which an attempt failed for a reason other than Full
 	retryAfter      time.Duration // delay that the last full server asked for
@@ -157,6 +162,7 @@
 	parent          *activeCall   // call that made this nested call; nil if there is none
 	rejectedByAll   bool          // all servers rejected the call as full
 	reached         int           // attempts that may have reached a backend server
+	retryTaken      bool          // a retry was taken out of the budget and has not reached a backend server
 	status          int
 	addedLatency    time.Duration
 	headSent        bool // the response header was written to the caller
--- a/thproxy/selection_test.go
+++ b/thproxy/selection_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,14 +18,15 @@
 	"github.com/turmerichaven/turmerichaven/therror"
 )
 
-// fullFirstGate rejects its first call as full.
+// fullFirstGate rejects its first calls as full.
 type fullFirstGate struct {
 	fakeGate
-	entered atomic.Int32
+	rejections int32 // one if zero
+	entered    atomic.Int32
 }
 
 func (g *fullFirstGate) Enter(ctx context.Context, o *thwire.Open) (Pass, error) {
-	if g.entered.Add(1) == 1 {
+	if g.entered.Add(1) <= max(g.rejections, 1) {
 		return nil, therror.New(therror.Full, "no free slot")
 	}
 	return g.fakeGate.Enter(ctx, o)
@@ -44,6 +47,29 @@
 	assert.Equal(t, len(m.balancer.results), maxAttempts)
 }
 
+// Guards against an idempotent call that fails although a server works, because many calls of
+// a server that has failed try it at once, and it is full for a moment.
+func TestFullServerIsTriedAgainAfterFailure(t *testing.T) {
+	for _, retry := range []int{100, 0} {
+		t.Run(fmt.Sprintf("retry budget %d%%", retry), func(t *testing.T) {
+			abort := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+			m := newMesh(t, thconfig.Route{Retry: retry}, abort, http.HandlerFunc(echoHandler), http.HandlerFunc(echoHandler))
+			m.balancer.reuse = true
+			m.targets[1].Server = func() (thwire.Server, netip.AddrPort, bool) { return thwire.Server{}, netip.AddrPort{}, false }
+			gate := &fullFirstGate{rejections: 3}
+			m.targets[2].Gate = gate
+			resp, body, err := do(t, m.client, "GET", m.front.URL, nil)
+			assert.NilError(t, err)
+			if retry == 0 {
+				assert.Equal(t, resp.StatusCode, http.StatusBadGateway, "%s", body)
+				return
+			}
+			assert.Equal(t, resp.StatusCode, http.StatusAccepted, "%s", body)
+			assert.Equal(t, gate.entered.Load(), gate.rejections+1)
+		})
+	}
+}
+
 // Guards against a pause that delays the error if all servers are only full, and
 // against a pause that exceeds the deadline of the call.
 func TestNoPauseWithoutFaultOrTime(t *testing.T) {
