Test stated limits of several servers through restarts of daemons

Cause: the tests of stated limits had one server, one limit and one restart.

Ruled out: nothing.

Change: a test with four daemons, two servers that state limits, one of which is lowered, and five restarts by seed.

--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -165,6 +165,51 @@
 	assert.Assert(t, most <= allowedByLimit(limit), "%d requests in %s, %d allowed", most, limitWindow, allowedByLimit(limit))
 }
 
+// Guards against limits of several servers, one of which changes, that are exceeded while any
+// of the daemons restart one after the other.
+func TestStatedLimitsAreKeptThroughRestarts(t *testing.T) {
+	const restarts, pause = 5, 2 * time.Second
+	h := &hostedFleet{t: t, size: 4, slots: 24, processingTime: 100 * time.Millisecond}
+	h.startNodes()
+	h.configure(1)
+	h.waitServing()
+	limits := []float64{7, 2.5} // of the first servers
+	for i, limit := range limits {
+		h.nodes[i].instance.SetLimit(fmt.Sprint(limit))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var traffic randomTraffic
+	traffic.start(ctx, h.nodes, 150)
+	binding := time.Now().Add(limitNotice)
+	random := rand.New(rand.NewPCG(*seed, 2))
+	var restarted []string
+	for i := range restarts {
+		time.Sleep(pause)
+		n := h.nodes[i%len(limits)] // beside a server that states a limit
+		if random.IntN(2) == 0 {
+			n = h.nodes[random.IntN(len(h.nodes))]
+		}
+		n.daemon.Kill()
+		n.clearBootstrap(h)
+		n.start(h)
+		restarted = append(restarted, n.name)
+		if i == restarts/2 {
+			h.nodes[1].instance.SetLimit("1") // lower
+		}
+	}
+	time.Sleep(limitWindow)
+	cancel()
+	traffic.clients.Wait()
+	t.Logf("seed %d, restarted %v, %d of %d calls good", *seed, restarted, traffic.good.Load(), traffic.all.Load())
+	for i, limit := range limits {
+		most, total := mostWithin(h.nodes[i].instance.Arrivals(), binding, limitWindow)
+		t.Logf("limit %g: %d requests in %s, %d in all", limit, most, limitWindow, total)
+		assert.Check(t, most <= allowedByLimit(limit), "%d requests in %s, %d allowed", most, limitWindow, allowedByLimit(limit))
+		assert.Check(t, total > 0)
+	}
+}
+
 // callTogether makes more concurrent calls at a node than the server of its zone has
 // slots, so that some go to other zones.
 func (h *hostedFleet) callTogether(node int) {
