Keep the message of an error that has no cause

Logs said "broken" and nothing else when a backend server sent more than 1 MiB as a response to another request.

Cause: Wrap with a nil error returned an error without a message.

Ruled out: a panic or a false "not run" in that case (TestEndlessBytesFromAServer).

Change: Wrap is New without a cause. TestWrapWithoutCauseKeepsTheMessage fails before ("broken").

--- a/therror/error.go
+++ b/therror/error.go
@@ -32,8 +32,11 @@
 }
 
 // Wrap returns an error of kind k with the cause err; format and args are the message
-// that precedes the cause's.
+// that precedes the cause's. Without a cause it is New.
 func Wrap(k Kind, err error, format string, args ...any) *Error {
+	if err == nil {
+		return New(k, format, args...)
+	}
 	return &Error{Kind: k, cause: oops.Code(string(k)).Wrapf(err, format, args...)}
 }
 
--- a/therror/error_test.go
+++ b/therror/error_test.go
@@ -34,3 +34,8 @@
 	assert.Equal(t, KindOf(context.DeadlineExceeded), Late)
 	assert.Equal(t, KindOf(nil), Kind(""))
 }
+
+// Guards against an error without any message, where the failure has no cause of its own.
+func TestWrapWithoutCauseKeepsTheMessage(t *testing.T) {
+	assert.Equal(t, Wrap(Broken, nil, "gave up after %d bytes", 7).Error(), "broken: gave up after 7 bytes")
+}
