Read a stored departure before the first message of each instance

The daemon acknowledges that i-2 leaves, restarts, gets a late heartbeat of i-1, which ran at the same address before, and then a late one of i-2: it is in use again until its next heartbeat.

Cause: the stored departure was read before the first message after a start only, of whichever instance that was.

Ruled out: the order of the processes in the registry (i-1 is older than i-2).

Change: it is read before the first message of each instance, and again with the next one if the store has failed. A daemon makes one call more for each instance that starts beside it later.

TestDepartureIsReadForEachInstance fails before (i-2 in use).

--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -22,19 +22,20 @@
 	*Daemon
 
 	registry *thserver.Registry
-	mutex    sync.Mutex       // guards recorded, and serialises the calls of the store
+	mutex    sync.Mutex       // guards the fields below, and serialises the calls of the store
 	recorded thwire.Departure // stored last
+	lookedUp string           // instance of which a stored departure was read last
 }
 
 // handleHeartbeat handles a heartbeat. It stores the departure of an instance before
-// it acknowledges it. Before the first heartbeat after a start it reads a stored
-// departure, because a heartbeat that was sent before the departure may still arrive.
+// it acknowledges it. Before the first message of an instance it reads a stored departure,
+// because a heartbeat that was sent before the departure may arrive after a restart.
 // A store that fails or exceeds its timeout is only logged: the heartbeat is handled
 // nevertheless, and the departure is stored with the next one.
 func (d *departureRecorder) handleHeartbeat(b thserver.Heartbeat) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.registry.Current() == nil && d.Settings.Daemon.Bootstrap != "true" && !b.Deregistered && !b.Leaving {
+	if d.lookedUp != b.Instance && d.Settings.Daemon.Bootstrap != "true" && !b.Deregistered && !b.Leaving {
 		d.lookUp(b.Instance)
 	}
 	if err := d.registry.HandleHeartbeat(b); err != nil {
@@ -118,7 +119,9 @@
 	startTime, found, err := d.platform.Departure(ctx, instance)
 	if err != nil {
 		d.Log.Warn("failed to look up an earlier departure of an instance", "instance", instance, "error", err)
+		return
 	}
+	d.lookedUp = instance
 	if found {
 		d.registry.MarkLeft(instance, startTime)
 	}
--- a/thdaemon/departure_test.go
+++ b/thdaemon/departure_test.go
@@ -110,3 +110,30 @@
 	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
 	assert.Assert(t, registry.Current() == nil, "in use again: %+v", registry.Current())
 }
+
+// Guards against a server that is in use again after a restart of its daemon, although its
+// end was acknowledged, because the first message after the restart is a late one of another
+// instance.
+func TestDepartureIsReadForEachInstance(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &failingTable{}
+	address := netip.MustParseAddrPort("127.0.0.1:8084")
+	start := func() (*thserver.Registry, *departureRecorder) {
+		d := &Daemon{platform: &platform{Store: &thstore.Store{Table: table, Clock: clock}}, Clock: clock}
+		d.Log = hclog.NewNullLogger()
+		registry := &thserver.Registry{Address: address, Clock: clock}
+		return registry, &departureRecorder{Daemon: d, registry: registry}
+	}
+	earlier := thserver.Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, Sequence: 1, StartTime: clock.Now()}
+	heartbeat := earlier
+	heartbeat.Instance, heartbeat.StartTime = "i-2", clock.Now().Add(time.Second)
+	leaving := heartbeat
+	leaving.Sequence, leaving.Leaving = 2, true
+	_, recorder := start()
+	assert.NilError(t, recorder.handleHeartbeat(leaving))
+	registry, recorder := start()
+	assert.NilError(t, recorder.handleHeartbeat(earlier))
+	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	entry := registry.Current()
+	assert.Assert(t, entry.Instance != "i-2" || entry.Leaving, "in use again: %+v", entry)
+}
