Record the departure of a process that is not the current one

An instance starts again under its id; a late message says that its first process leaves; after a restart of the daemon, a still later heartbeat of that process is taken, as its departure was not stored. Or a late departure of the first process overwrites that of the second.

Cause: what was stored was the state of the current entry, not what the message that was acknowledged says, and a daemon that had just started did not know the later departure in the store.

Ruled out: the registry, which keeps the latest departure of each instance while the daemon runs.

Change: the latest departure of the message's instance is stored, and read before its first message whatever that is. The time for writing is 600 ms, so that reading and writing take less than the second in which the sender waits.

--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -13,7 +13,7 @@
 // a heartbeat times out after one second.
 const (
 	departureReadTimeout  = 300 * time.Millisecond
-	departureWriteTimeout = 700 * time.Millisecond
+	departureWriteTimeout = 600 * time.Millisecond
 )
 
 // departureRecorder handles the heartbeats of the local backend server and stores its
@@ -35,22 +35,13 @@
 func (d *departureRecorder) handleHeartbeat(b thserver.Heartbeat) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.lookedUp != b.Instance && d.Settings.Daemon.Bootstrap != "true" && !b.Deregistered && !b.Leaving {
+	if d.lookedUp != b.Instance && d.Settings.Daemon.Bootstrap != "true" {
 		d.lookUp(b.Instance)
 	}
 	if err := d.registry.HandleHeartbeat(b); err != nil {
 		return err
 	}
-	switch e := d.registry.Current(); {
-	case e != nil && e.Instance == b.Instance:
-		d.store(e)
-	case b.Deregistered:
-		start := b.StartTime
-		if start.IsZero() {
-			start = d.Clock.Now() // as in the registry
-		}
-		d.record(b.Instance, start)
-	}
+	d.store(b.Instance)
 	return nil
 }
 
@@ -61,9 +52,7 @@
 	go func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
-		if e := d.registry.Current(); e != nil && e.Instance == instance {
-			d.store(e)
-		}
+		d.store(instance)
 	}()
 }
 
@@ -74,7 +63,7 @@
 	defer d.mutex.Unlock()
 	d.recorded = thwire.Departure{}
 	if e := d.registry.Current(); e != nil {
-		d.store(e)
+		d.store(e.Instance)
 	}
 }
 
@@ -89,18 +78,12 @@
 	d.registry.MarkLeft(m.Instance, time.UnixMilli(m.Born))
 }
 
-// store stores the departure of an instance that is leaving, unless it is stored
-// already; the mutex is held.
-func (d *departureRecorder) store(e *thserver.Entry) {
-	if e.Leaving || e.Deregistered {
-		d.record(e.Instance, e.StartTime)
-	}
-}
-
-// record stores a departure unless it is the one stored last; the mutex is held.
-func (d *departureRecorder) record(instance string, start time.Time) {
+// store stores the latest departure of an instance, if it has one that is not the one
+// stored last; the mutex is held.
+func (d *departureRecorder) store(instance string) {
+	start, departed := d.registry.Departure(instance)
 	departure := thwire.Departure{Instance: instance, Born: start.UnixMilli()}
-	if d.recorded == departure {
+	if !departed || d.recorded == departure {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), departureWriteTimeout)
@@ -124,5 +107,6 @@
 	d.lookedUp = instance
 	if found {
 		d.registry.MarkLeft(instance, startTime)
+		d.recorded = thwire.Departure{Instance: instance, Born: startTime.UnixMilli()}
 	}
 }
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -112,6 +112,15 @@
 	return nil
 }
 
+// Departure returns the start time of the latest process of an instance that is known to
+// have left; false if none is.
+func (g *Registry) Departure(instance string) (start time.Time, departed bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	start, departed = g.left[instance]
+	return start, departed
+}
+
 // MarkLeaving records that the current instance states that it is leaving. It does
 // nothing for an earlier instance or process.
 func (g *Registry) MarkLeaving(instance string, start time.Time) {
