--- a/thadmit/limiter.go
+++ b/thadmit/limiter.go
@@ -141,7 +141,7 @@
 }
 
 // isAboveBaseline reports whether the average of n calls exceeds the baseline by
-// more than factor and by a statistically significant amount.
+// more than factor and minDelay, and by a statistically significant amount.
 func (l *limiter) isAboveBaseline(average, factor, n float64) bool {
 	return l.hasBaseline && average-l.baseline > max(factor, minStandardErrors*math.Sqrt(l.variance/n)) &&
 		math.Exp(average)-math.Exp(l.baseline) > float64(minDelay)
--- a/thdaemon/departed.go
+++ b/thdaemon/departed.go
@@ -10,9 +10,9 @@
 )
 
 // departedInstances remembers the backend server instances that members have announced
-// as leaving, or that have stated it in a response. A daemon that starts again forgets the departure of its server, and reads
-// it from the store only while that is available; the other daemons know it from the
-// member record of the daemon's previous process.
+// as leaving, or that have stated it in a response. A daemon that starts again forgets the
+// departure of its server, and reads it from the store only while that is available; the
+// other daemons know it from the member record of the daemon's previous process.
 type departedInstances struct {
 	mutex sync.Mutex
 	known map[thwire.Departure]time.Time // when the instance was last announced as leaving
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -182,7 +182,8 @@
 
 // mayRetry reports whether a retry is allowed after err, apart from the budget.
 func (c *call) mayRetry(err error) bool {
-	if c.rejectedByAll || c.attempts-c.rejections >= maxAttempts || c.rejections > maxRejections || c.ctx.Err() != nil || !c.body.replayable() {
+	attemptsUsed := c.attempts-c.rejections >= maxAttempts || c.rejections >= maxRejections
+	if c.rejectedByAll || attemptsUsed || c.ctx.Err() != nil || !c.body.replayable() {
 		return false
 	}
 	if c.route.Attempts > 0 && c.reached >= c.route.Attempts || c.checkTimeLeft() != nil {
--- a/thproxy/selection_test.go
+++ b/thproxy/selection_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// Guards against a call that tries full servers without end.
+func TestRejectionsAreLimited(t *testing.T) {
+	full := therror.New(therror.Full, "no free slot")
+	m := newMesh(t, thconfig.Route{}, http.HandlerFunc(echoHandler))
+	for _, c := range []struct {
+		attempts, rejections int
+		want                 bool
+	}{{1, 0, true}, {maxRejections, maxRejections - 1, true}, {maxRejections + 1, maxRejections, false}, {maxAttempts, 0, false}} {
+		k := &call{Ingress: m.ingress, ctx: t.Context(), route: &m.route, attempts: c.attempts, rejections: c.rejections, reached: 1}
+		assert.Equal(t, k.mayRetry(full), c.want, "%d attempts, %d rejections", c.attempts, c.rejections)
+	}
+}
+
 // Guards against a pause that delays the error if all servers are only full, and
 // against a pause that exceeds the deadline of the call.
 func TestNoPauseWithoutFaultOrTime(t *testing.T) {
