Keep calls that run once while a daemon is silent

Callers of unsafe routes saw 502 "unknown" for requests whose backend server went on to finish them, when the daemon beside it, or the connection to it, stopped for a second; in the other direction, a paused ingress daemon made the target cancel work that must not be made again.

Cause: a session whose peer had sent nothing for 0.9 s was closed with all its streams, so that idempotent calls could be retried elsewhere. For the others the end of the session is a certain failure, where waiting until the deadline is not.

Ruled out: the failure detector of the members, which ends no calls.

Change: only idempotent calls without a response head end then, and the peer is told; the session takes no new streams, and the peer is not dialled again for a second, so that new calls go to another server as before.

--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -134,6 +134,9 @@
 			go s.closeWhenIdle()
 		case s.streamIDsExhausted():
 			go s.closeWhenIdle()
+		case s.silent.Load():
+			p.nextDial, p.dialError = now.Add(silentPeerPause), therror.New(therror.Broken, "peer silent")
+			go s.closeWhenIdle()
 		case s.alive():
 			kept = append(kept, s)
 		}
--- a/thwire/incoming.go
+++ b/thwire/incoming.go
@@ -53,6 +53,13 @@
 	i.cancel()
 }
 
+func (i *Incoming) outlivesSilence() bool { return i.open.Once }
+
+func (i *Incoming) endForSilence(err error) {
+	i.sessionFailed(err, 0)
+	i.session.send(TypeRefuse, &Refuse{Stream: i.id, Kind: string(therror.Broken), Message: err.Error()})
+}
+
 func (i *Incoming) cancelledByPeer(k therror.Kind) {
 	if k != therror.Late {
 		k = therror.Cancelled
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -24,11 +24,6 @@
 	maxBufferedBytes  = 128 << 20 // bytes received but not read, over all streams
 	maxStreamID       = 1 << 31   // a session whose stream numbers reach it is replaced
 	sessionBufferSize = 16 << 10
-	pingInterval      = 500 * time.Millisecond
-	// silenceTimeout is how long a peer with streams in progress may send nothing before
-	// the session is closed: the peer has had pingInterval to reply to a ping, and an
-	// idempotent call with the typical deadline of 2 s can still be retried elsewhere.
-	silenceTimeout = 900 * time.Millisecond
 )
 
 // Session multiplexes calls over one TCP connection. The side that dialled opens the
@@ -42,6 +37,7 @@
 	lastRead      atomic.Int64 // time of the last frame from the peer, in ns since 1970
 	peerGoingAway atomic.Bool  // the peer accepts no new streams
 	goingAway     atomic.Bool  // this side accepts no new streams
+	silent        atomic.Bool  // the peer was silent for silenceTimeout; no new streams are opened
 
 	mutex           sync.Mutex
 	streams         map[uint32]sessionStream
@@ -62,6 +58,11 @@
 	// sessionFailed ends the stream with err. Frames of the session's send queue beyond
 	// the position taken were not written.
 	sessionFailed(err error, taken uint64)
+	// outlivesSilence reports whether the stream goes on while the peer is silent, since its
+	// call can't be retried elsewhere: the peer may only have stopped for a moment.
+	outlivesSilence() bool
+	// endForSilence ends the stream with err and tells the peer.
+	endForSilence(err error)
 }
 
 // ServeCalls starts a session that handles the calls that the peer opens on conn, from
@@ -214,39 +215,6 @@
 	}
 }
 
-// keepalive pings a silent peer while streams are in progress, and ends the session if
-// the peer stays silent for silenceTimeout.
-func (s *Session) keepalive() {
-	defer s.loops.Done()
-	t := s.clock.NewTicker(pingInterval)
-	defer t.Stop()
-	active := false // streams were in progress at the previous tick
-	for number := uint64(1); ; number++ {
-		select {
-		case <-t.Chan():
-		case <-s.done:
-			return
-		}
-		if s.Active() == 0 {
-			active = false
-			continue
-		}
-		now := s.clock.Now()
-		if !active { // the silence of an idle session doesn't count
-			s.lastRead.Store(max(s.lastRead.Load(), now.UnixNano()))
-			active = true
-		}
-		silence := now.Sub(time.Unix(0, s.lastRead.Load()))
-		if silence > silenceTimeout {
-			s.fail(therror.New(therror.Broken, "peer silent for %s", silence))
-			return
-		}
-		if silence > pingInterval/2 {
-			s.send(TypePing, Ping{Number: number})
-		}
-	}
-}
-
 func (s *Session) readLoop() {
 	defer s.loops.Done()
 	r := bufio.NewReaderSize(s.conn, sessionBufferSize)
@@ -455,7 +423,7 @@
 
 // open starts a stream. An error means that nothing was sent.
 func (s *Session) open(ctx context.Context, o *Open) (*Stream, error) {
-	st := &Stream{ctx: ctx}
+	st := &Stream{ctx: ctx, once: o.Once}
 	s.mutex.Lock()
 	if s.failure != nil {
 		defer s.mutex.Unlock()
--- /dev/null
+++ b/thwire/silence.go
@@ -0,0 +1,83 @@
+package thwire
+
+import (
+	"time"
+
+	"github.com/turmerichaven/turmerichaven/therror"
+)
+
+const (
+	pingInterval = 500 * time.Millisecond
+	// silenceTimeout is how long a peer with streams in progress may send nothing before
+	// those that can be retried elsewhere end: the peer has had pingInterval to reply to a
+	// ping, and an idempotent call with the typical deadline of 2 s has time for a retry.
+	silenceTimeout = 900 * time.Millisecond
+	// silentPeerPause is how long a peer is not dialled again after its silence.
+	silentPeerPause = time.Second
+)
+
+// keepalive pings a silent peer while streams are in progress, and calls handleSilence
+// while the peer has been silent for silenceTimeout.
+func (s *Session) keepalive() {
+	defer s.loops.Done()
+	t := s.clock.NewTicker(pingInterval)
+	defer t.Stop()
+	active := false // streams were in progress at the previous tick
+	for number := uint64(1); ; number++ {
+		select {
+		case <-t.Chan():
+		case <-s.done:
+			return
+		}
+		if s.Active() == 0 {
+			active = false
+			continue
+		}
+		now := s.clock.Now()
+		if !active { // the silence of an idle session doesn't count
+			s.lastRead.Store(max(s.lastRead.Load(), now.UnixNano()))
+			active = true
+		}
+		silence := now.Sub(time.Unix(0, s.lastRead.Load()))
+		if silence > silenceTimeout {
+			s.handleSilence(therror.New(therror.Broken, "peer silent for %s", silence))
+			continue
+		}
+		if silence > pingInterval/2 {
+			s.send(TypePing, Ping{Number: number})
+		}
+	}
+}
+
+// handleSilence ends the streams that don't outlive the silence of the peer, and the
+// session if there are no others. Frames of ended streams may still reach the peer, so
+// their calls are not known to be not run.
+func (s *Session) handleSilence(err error) {
+	s.silent.Store(true)
+	if s.failIf(err, func() bool { return !s.anyOutlivesSilence() }) {
+		return
+	}
+	s.mutex.Lock()
+	var ended []sessionStream
+	for id, st := range s.streams {
+		if !st.outlivesSilence() {
+			ended = append(ended, st)
+			delete(s.streams, id)
+		}
+	}
+	s.mutex.Unlock()
+	for _, st := range ended {
+		st.endForSilence(err)
+	}
+}
+
+// anyOutlivesSilence reports whether a stream outlives the silence of the peer; the mutex
+// is held.
+func (s *Session) anyOutlivesSilence() bool {
+	for _, st := range s.streams {
+		if st.outlivesSilence() {
+			return true
+		}
+	}
+	return false
+}
--- a/thwire/stream.go
+++ b/thwire/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/therror"
@@ -13,6 +14,7 @@
 type Stream struct {
 	flow
 	ctx        context.Context
+	once       bool   // the call must not be made again
 	openOffset uint64 // position after the Open frame in the send queue of the session
 	head       *Head
 	end        *End
@@ -31,6 +33,19 @@
 	s.fail(therror.Wrap(k, err, "session broke"))
 }
 
+// outlivesSilence is true for calls that must not be made again, and for responses of which
+// the caller may have got a part.
+func (s *Stream) outlivesSilence() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.once || s.head != nil
+}
+
+func (s *Stream) endForSilence(err error) {
+	s.sessionFailed(err, math.MaxUint64)
+	s.session.send(TypeCancel, Cancel{Stream: s.id, Kind: string(therror.Cancelled)})
+}
+
 func (s *Stream) handleHead(h *Head) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
