--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -56,8 +56,7 @@
 	evidenceLogInterval = time.Second
 
 	// completionReserve is the time before the deadline that is left for committing the
-	// end of a move: a tick, and the time until operators who look at its state twice a
-	// second see it.
+	// end of a move: a tick, and some time for operators to see it.
 	completionReserve = 750 * time.Millisecond
 )
 
