Log which requests a backend server had in progress when it crashed

What operators saw: lines of broken calls that named neither request nor caller, and nothing that told a crash of a server from a broken connection. The hypotheses on a request that crashes servers could not be told apart.

The lines of the ingress and of the daemon beside the server name id, method, path and caller.

--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -156,3 +156,23 @@
 func formatMilliseconds(d time.Duration) string {
 	return strconv.FormatInt(int64((d+time.Millisecond-1)/time.Millisecond), 10)
 }
+
+// maxLoggedTarget is the number of bytes of a request target that a log line shows.
+const maxLoggedTarget = 120
+
+// shortTarget returns a request target for a log line.
+func shortTarget(target string) string {
+	if len(target) <= maxLoggedTarget {
+		return target
+	}
+	return target[:maxLoggedTarget] + "..."
+}
+
+// headerValue returns the first value of a header, empty if the list has none.
+func headerValue(list []thwire.Header, name string) string {
+	i := slices.IndexFunc(list, func(h thwire.Header) bool { return h.Name == name })
+	if i < 0 {
+		return ""
+	}
+	return list[i].Value
+}
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -380,7 +380,8 @@
 		c.Metrics.ObserveCall(class, c.status, string(therror.KindOf(err)), total, c.addedLatency)
 	}
 	if err != nil && c.Log != nil {
-		c.Log.Warn("call failed", "request", c.id(), "route", route, "version", thconfig.VersionText(c.open.Version), "pool", c.open.Pool,
+		c.Log.Warn("call failed", "request", c.id(), "route", route, "method", c.request.Method, "path", shortTarget(requestTarget(c.request)),
+			"caller", c.LocalService, "version", thconfig.VersionText(c.open.Version), "pool", c.open.Pool,
 			"server", c.server, "kind", therror.KindOf(err), "status", c.status, "attempts", c.attempts, "reached", c.reached,
 			"cut", c.headSent, "inner", c.parent != nil, "begun", c.open.Begun, "total", total, "error", err)
 	}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -76,6 +76,8 @@
 	ActiveCalls *ActiveCalls // shared with the Ingress; nil tracks no calls
 	Clock       clockwork.Clock
 	Log         hclog.Logger
+
+	crashes crashDetector
 }
 
 // CallObserver receives the progress of a dispatched call as evidence about the version
@@ -102,7 +104,9 @@
 	}()
 	if err := t.serve(c); err != nil {
 		if t.Log != nil && !therror.IsNotRun(err) {
-			t.Log.Warn("call failed at the target", "route", c.Open().Route, "kind", therror.KindOf(err), "error", err)
+			o, names := c.Open(), headersOrDefault(t.Headers)
+			t.Log.Warn("call failed at the target", "request", headerValue(o.Header, names.RequestID), "route", o.Route, "method", o.Method,
+				"path", shortTarget(o.Target), "caller", headerValue(o.Header, names.Caller), "instance", o.Instance, "kind", therror.KindOf(err), "error", err)
 		}
 		_ = c.Refuse(toError(err), t.Gate.Load(c.Open().Route))
 	}
@@ -165,7 +169,7 @@
 	}
 	trailer, err := t.dispatch(c, r, server, pass, ticket)
 	if err != nil {
-		return err
+		return t.checkCrash(c, server, address, err)
 	}
 	return c.End(trailer, t.Gate.Load(o.Route))
 }
