Test a request that crashes the backend servers which run it

Cause: nothing remembers the request. Ruled out: a broken connection alone, since the daemons log a crash each time. Change: thstandin.Instance crashes on a request target and restarts.

--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -45,8 +45,9 @@
 	instance *thstandin.Instance
 	settings string
 
-	mutex sync.Mutex
-	state string // sent in heartbeats; no heartbeats are sent while it is empty
+	mutex  sync.Mutex
+	state  string // sent in heartbeats; no heartbeats are sent while it is empty
+	server *http.Server
 }
 
 const (
@@ -110,16 +111,33 @@
 		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: h.versionOf(i), Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
 		Address: at(hostedServerPort), ControlAddress: at(hostedControlPort), ProcessingTime: h.processingTime, StartTime: time.Now(),
 	}
-	l, err := net.Listen("tcp", at(hostedServerPort))
-	assert.NilError(h.t, err)
-	server := &http.Server{Handler: n.instance}
-	go server.Serve(l)
-	h.t.Cleanup(func() { server.Close() })
+	assert.NilError(h.t, n.serveInstance())
+	h.t.Cleanup(n.closeInstance)
 	n.start(h)
 	go n.sendHeartbeats(h.t.Context())
 	h.nodes = append(h.nodes, n)
 }
 
+// serveInstance serves the requests of the backend server.
+func (n *hostedNode) serveInstance() error {
+	l, err := net.Listen("tcp", n.instance.Address)
+	if err != nil {
+		return err
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.server = &http.Server{Handler: n.instance}
+	go n.server.Serve(l)
+	return nil
+}
+
+// closeInstance breaks all connections of the backend server and refuses new ones.
+func (n *hostedNode) closeInstance() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	_ = n.server.Close()
+}
+
 func (n *hostedNode) start(h *hostedFleet) {
 	var err error
 	n.daemon, err = thfleet.StartDaemon(n.name, filepath.Join(h.dir, n.name+".log"), programPath, n.settings)
--- a/thstandin/instance.go
+++ b/thstandin/instance.go
@@ -35,6 +35,9 @@
 	arrivals []time.Time // when the runs began
 	active   int
 	peak     int // maximum of active
+	crashOn  string // request target that crashes the instance; empty for none
+	crash    func()
+	crashes  []time.Time
 }
 
 // ServeHTTP runs a request. It responds with status 421 if header X-Expect-Instance
@@ -59,7 +62,19 @@
 	i.active++
 	i.peak = max(i.peak, i.active)
 	w.Header().Set("X-Server-Load", strconv.Itoa(i.active)+",0,"+strconv.Itoa(i.Slots))
+	crash := i.crash
+	if i.crashOn != r.RequestURI {
+		crash = nil
+	}
+	if crash != nil {
+		i.crashes = append(i.crashes, time.Now())
+		i.active--
+	}
 	i.mutex.Unlock()
+	if crash != nil {
+		crash()
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(i.ProcessingTime)
 	i.mutex.Lock()
 	i.active--
@@ -103,6 +118,28 @@
 	i.leaving = leaving
 }
 
+// CrashOn makes each request of a target call crash, which must break all connections and
+// refuse new ones, as the end of the process does.
+func (i *Instance) CrashOn(target string, crash func()) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.crashOn, i.crash = target, crash
+}
+
+// Crashes returns when requests have crashed the instance.
+func (i *Instance) Crashes() []time.Time {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return append([]time.Time(nil), i.crashes...)
+}
+
+// Restart makes the instance a new process of the same id.
+func (i *Instance) Restart() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.StartTime, i.sequence = time.Now(), 0
+}
+
 // PeakConcurrency returns the maximum of concurrently run requests.
 func (i *Instance) PeakConcurrency() int {
 	i.mutex.Lock()
@@ -115,10 +152,10 @@
 func (i *Instance) SendHeartbeat(state string, cold time.Duration) error {
 	i.mutex.Lock()
 	i.sequence++
-	sequence := i.sequence
+	sequence, born := i.sequence, i.StartTime.UnixMilli()
 	i.mutex.Unlock()
 	return i.post("Instances.Heartbeat", map[string]any{
-		"address": i.Address, "born": i.StartTime.UnixMilli(),
+		"address": i.Address, "born": born,
 		"info":   map[string]any{"service": i.Service, "version": i.Version, "zone": i.Zone, "slots": i.Slots},
 		"status": map[string]any{"state": state, "sequence": sequence, "cold_remaining_s": cold.Seconds()},
 	})
@@ -126,7 +163,10 @@
 
 // Deregister notifies the daemon that the instance is gone.
 func (i *Instance) Deregister() error {
-	return i.post("Instances.Deregister", map[string]any{"born": i.StartTime.UnixMilli()})
+	i.mutex.Lock()
+	born := i.StartTime.UnixMilli()
+	i.mutex.Unlock()
+	return i.post("Instances.Deregister", map[string]any{"born": born})
 }
 
 // post sends a call of the control API and returns an error unless the status is 200.
