Quarantine requests that crash the backend servers which run them

Cause: an outcome was attributed to the server alone. Nothing remembered which request a server ran when it crashed, so each ingress retried it at the next server, and began anew each time it came again. Class of fault: failure attribution to one of two parties (a "query of death").

Ruled out: faults of servers or zones (all servers crash), and a plain count of broken calls (it convicts the seven).

Change: the daemon beside a server tells a crash from a broken connection (kind crashed). The ingress records the fingerprint of the request (method, host, path with query, caller, body) with the crashed process; two crashes without a response in between quarantine it. The calls that stood beside it are retried one at a time at each server, so a second crash tells them apart; a response acquits a request, and so does a quarantined request that was in progress at each of its crashes. Records merge in any order, are flooded with the membership and repaired by its anti-entropy. A quarantined request is answered 502, not run, without Retry-After. A quarantine lasts an hour, four times longer after each further crash. A call that crashed a server of a move's new version is retried at the old one.

--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -155,7 +155,7 @@
 		s.avoidUntil(now.Add(avoidance(r.RetryAfter, defaultLeavingAvoidance)))
 	case therror.Unready:
 		s.avoidUntil(now.Add(avoidance(r.RetryAfter, defaultUnreadyAvoidance)))
-	case therror.Broken:
+	case therror.Broken, therror.Crashed:
 		s.eject(now)
 	case therror.Down:
 		// If the target replied, it is reachable, and Down refers to the platform.
--- /dev/null
+++ b/thcrash/tracker.go
@@ -0,0 +1,239 @@
+package thcrash
+
+import (
+	"encoding/hex"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/turmerichaven/turmerichaven/thclock"
+	"github.com/turmerichaven/turmerichaven/thwire"
+)
+
+// State says how a request is to be handled.
+type State int
+
+// The states of a request.
+const (
+	// Unknown is a request that is not known to have been in progress at a crash.
+	Unknown State = iota
+	// Acquitted is a request that a backend server has responded to since, or that stood
+	// beside a quarantined one at each of its crashes.
+	Acquitted
+	// Suspect is a request that may have crashed a backend server. A server runs one suspect
+	// request at a time.
+	Suspect
+	// Quarantined is a request that is not sent to a backend server.
+	Quarantined
+)
+
+// Tracker holds this daemon's copy of the records. A nil Tracker knows no requests. The
+// exported fields are set before use.
+type Tracker struct {
+	// Publish floods a record that has changed here. It must not call the Tracker.
+	Publish func(thwire.CrashRecord)
+	// OnQuarantine is called with a record by which this daemon quarantines a request; it may
+	// be nil.
+	OnQuarantine func(thwire.CrashRecord)
+	Clock        clockwork.Clock
+	Log          hclog.Logger
+
+	mutex   sync.Mutex
+	records map[string]thwire.CrashRecord
+	count   atomic.Int64  // of records
+	changed chan struct{} // closed by the next change; nil until it is asked for
+}
+
+// Request describes a request in log lines.
+type Request struct {
+	Fingerprint                    string
+	ID, Method, Host, Path, Caller string
+}
+
+// Active reports whether any request is on record. Without one, callers need no fingerprint.
+func (t *Tracker) Active() bool { return t != nil && t.count.Load() > 0 }
+
+// State returns the state of a request and the number of crashes that it stands for.
+func (t *Tracker) State(fingerprint string) (s State, crashes int) {
+	if !t.Active() {
+		return Unknown, 0
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	r, found := t.records[fingerprint]
+	now := t.now()
+	switch {
+	case !found || !now.Before(Expiry(r)):
+		return Unknown, 0
+	case len(r.Crashes) == 0 || t.isExplained(r, now):
+		return Acquitted, 0
+	case isQuarantined(r, now):
+		return Quarantined, len(r.Crashes)
+	}
+	return Suspect, len(r.Crashes)
+}
+
+// isExplained reports whether a quarantined request with more crashes was in progress at each
+// crash of the record. The mutex is held.
+func (t *Tracker) isExplained(r thwire.CrashRecord, now time.Time) bool {
+	for _, o := range t.records {
+		if len(o.Crashes) > len(r.Crashes) && isQuarantined(o, now) && containsAll(o.Crashes, r.Crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// containsAll reports whether a sorted list has all elements of another list.
+func containsAll(sorted, elements []uint64) bool {
+	for _, e := range elements {
+		if _, found := slices.BinarySearch(sorted, e); !found {
+			return false
+		}
+	}
+	return true
+}
+
+// Changed returns a channel that is closed when a state may have changed.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.changed == nil {
+		t.changed = make(chan struct{})
+	}
+	return t.changed
+}
+
+// RecordCrash records that a request was in progress at a process of a backend server that
+// crashed; see ProcessID.
+func (t *Tracker) RecordCrash(request Request, process uint64) {
+	if t == nil {
+		return
+	}
+	t.mutex.Lock()
+	now := t.now()
+	old := t.records[request.Fingerprint]
+	r := thwire.CrashRecord{Request: request.Fingerprint, Round: old.Round, Crashes: []uint64{process}, Time: now.UnixMilli()}
+	if len(old.Crashes) > 0 {
+		r = Merge(old, r)
+	}
+	added := len(r.Crashes) > len(old.Crashes)
+	if !added {
+		r.Time = old.Time
+	}
+	t.put(r)
+	quarantined := isQuarantined(r, now) && !t.isExplained(r, now)
+	t.mutex.Unlock()
+	if !added {
+		return
+	}
+	t.publish(r)
+	if !quarantined {
+		return
+	}
+	t.log().Warn("request quarantined", "fingerprint", hex.EncodeToString([]byte(r.Request)), "request", request.ID, "method", request.Method,
+		"host", request.Host, "path", request.Path, "caller", request.Caller, "crashes", len(r.Crashes), "for", quarantineTime(r))
+	if t.OnQuarantine != nil {
+		t.OnQuarantine(r)
+	}
+}
+
+// RecordResponse records that a backend server has responded to a request, which is proof
+// that it does not crash servers.
+func (t *Tracker) RecordResponse(fingerprint string) {
+	if !t.Active() {
+		return
+	}
+	t.mutex.Lock()
+	old, found := t.records[fingerprint]
+	if !found || len(old.Crashes) == 0 {
+		t.mutex.Unlock()
+		return
+	}
+	now := t.now()
+	r := thwire.CrashRecord{Request: fingerprint, Round: old.Round + 1, Time: now.UnixMilli()}
+	t.put(r)
+	t.mutex.Unlock()
+	if isQuarantined(old, now) {
+		t.log().Info("request released from quarantine by a response", "fingerprint", hex.EncodeToString([]byte(fingerprint)), "crashes", len(old.Crashes))
+	}
+	t.publish(r)
+}
+
+// Update merges a record of the fleet, and removes expired ones.
+func (t *Tracker) Update(r thwire.CrashRecord) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	if !IsValid(r, now) {
+		return
+	}
+	old, found := t.records[r.Request]
+	if found {
+		r = Merge(old, r)
+	}
+	if isQuarantined(r, now) && !isQuarantined(old, now) && !t.isExplained(r, now) {
+		t.log().Info("request quarantined by the fleet", "fingerprint", hex.EncodeToString([]byte(r.Request)), "crashes", len(r.Crashes),
+			"age", now.Sub(time.UnixMilli(r.Time)))
+	}
+	t.put(r)
+}
+
+// Counts returns the number of suspect and of quarantined requests.
+func (t *Tracker) Counts() (suspect, quarantined int) {
+	if !t.Active() {
+		return 0, 0
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	for _, r := range t.records {
+		switch {
+		case len(r.Crashes) == 0 || !now.Before(Expiry(r)) || t.isExplained(r, now):
+		case isQuarantined(r, now):
+			quarantined++
+		default:
+			suspect++
+		}
+	}
+	return suspect, quarantined
+}
+
+// put stores a record. A full table loses the record that comes last by Precedes. The mutex
+// is held.
+func (t *Tracker) put(r thwire.CrashRecord) {
+	if t.records == nil {
+		t.records = map[string]thwire.CrashRecord{}
+	}
+	if _, found := t.records[r.Request]; !found && len(t.records) >= MaxRecords {
+		RemoveExpired(t.records, t.now())
+		if _, kept := MakeRoom(t.records, r); !kept {
+			return
+		}
+	}
+	t.records[r.Request] = r
+	t.count.Store(int64(len(t.records)))
+	if t.changed != nil {
+		close(t.changed)
+		t.changed = nil
+	}
+}
+
+func (t *Tracker) publish(r thwire.CrashRecord) {
+	if t.Publish != nil {
+		t.Publish(r)
+	}
+}
+
+func (t *Tracker) now() time.Time { return thclock.OrSystem(t.Clock).Now() }
+
+func (t *Tracker) log() hclog.Logger {
+	if t.Log == nil {
+		return hclog.NewNullLogger()
+	}
+	return t.Log
+}
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/turmerichaven/turmerichaven/thbalance"
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/thcrash"
 	"github.com/turmerichaven/turmerichaven/thhttp"
 	"github.com/turmerichaven/turmerichaven/thlog"
 	"github.com/turmerichaven/turmerichaven/thmember"
@@ -72,6 +73,7 @@
 	http2Server      *http.Server   // ingress for HTTP/2 callers
 	sessions         sessions
 	updater          updater
+	crashes          *thcrash.Tracker
 	departed         departedInstances
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
@@ -242,6 +244,9 @@
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
 		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
 	}
+	d.crashes = &thcrash.Tracker{Publish: d.node.MergeCrashRecord, Clock: d.Clock, Log: d.Log.Named("crash")}
+	d.node.WatchCrashRecords(d.crashes.Update)
+	d.ingress.Crashes, d.target.Crashes = d.crashes, d.crashes
 }
 
 // rejectsCalls reports whether the target rejects new calls. It does so without a
--- a/thmember/detect.go
+++ b/thmember/detect.go
@@ -33,6 +33,9 @@
 	if n.isDue("forget", now, time.Minute) && n.state.removeExpired(now) {
 		n.publishView()
 	}
+	if len(n.state.crashes) > 0 && n.isDue("crashes", now, crashExpiryInterval) {
+		n.state.removeExpiredCrashes(now)
+	}
 	if n.state.hasChanges() {
 		n.requestFlush()
 	}
--- a/thmember/flood.go
+++ b/thmember/flood.go
@@ -18,6 +18,7 @@
 	updates    map[*link][]*thwire.Update
 	view       *View // nil if members and held versions are unchanged
 	moveStates []thwire.MoveState
+	crashes    []thwire.CrashRecord
 }
 
 // collectChanges returns the changes since the last call, grouped by receiver, and
@@ -41,6 +42,9 @@
 	for move := range n.state.changed.moveStates {
 		batch.moveStates = append(batch.moveStates, n.state.moveStates[move])
 	}
+	for request := range n.state.changed.crashes {
+		batch.crashes = append(batch.crashes, n.state.crashes[request])
+	}
 	n.state.clearChanges()
 	return batch
 }
@@ -72,6 +76,11 @@
 			update.Facts = append(update.Facts, n.state.moveStates[move])
 		}
 	}
+	for request, from := range n.state.changed.crashes {
+		if from != name {
+			update.Crashes = append(update.Crashes, n.state.crashes[request])
+		}
+	}
 	return update
 }
 
@@ -93,6 +102,11 @@
 			f(s)
 		}
 	}
+	for _, r := range batch.crashes {
+		for _, f := range n.crashWatchers {
+			f(r)
+		}
+	}
 }
 
 // publishView builds and stores a new view. It runs at most once per batch, so its
@@ -146,6 +160,9 @@
 	for _, f := range update.Facts {
 		n.state.putMoveState(f, from)
 	}
+	for _, r := range update.Crashes {
+		n.state.putCrashRecord(r, from, now)
+	}
 	if n.state.hasChanges() {
 		n.requestFlush()
 	}
@@ -227,7 +244,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	own := n.state.checksum
-	if received.Members == own.Members && received.Held == own.Held && received.Facts == own.Facts {
+	if received.Members == own.Members && received.Held == own.Held && received.Facts == own.Facts && received.Crashes == own.Crashes {
 		l.mismatches = 0
 		return
 	}
@@ -281,6 +298,9 @@
 	for _, f := range summary.Facts {
 		n.state.putMoveState(f, l.name)
 	}
+	for _, r := range summary.Crashes {
+		n.state.putCrashRecord(r, l.name, now)
+	}
 	if n.state.hasChanges() {
 		n.requestFlush()
 	}
--- a/thmember/node.go
+++ b/thmember/node.go
@@ -67,6 +67,7 @@
 	handlers      map[thwire.Type]Handler
 	viewWatchers  []func(*View)
 	moveWatchers  []func(thwire.MoveState)
+	crashWatchers []func(thwire.CrashRecord)
 	flushRequests chan struct{}
 	ctx           context.Context
 	cancel        context.CancelFunc
--- a/thmember/state.go
+++ b/thmember/state.go
@@ -25,10 +25,12 @@
 	members    map[string]*record
 	namesByID  map[uint64]string // names by hash of name and incarnation, as in thwire.VersionGroup
 	moveStates map[string]thwire.MoveState
+	crashes    map[string]thwire.CrashRecord // by request
 	checksum   thwire.StateDigest
 	changed    struct {
 		members, held map[string]*pendingChange // by name
 		moveStates    map[string]string         // by move: the neighbour that sent the change, empty for a local one
+		crashes       map[string]string         // the same by request
 		urgent        bool                      // a change must not wait for minFlushInterval
 	}
 	suspectDeadlines map[string]time.Time // when suspects are declared dead, by name
@@ -58,6 +60,7 @@
 	s.members = map[string]*record{}
 	s.namesByID = map[uint64]string{}
 	s.moveStates = map[string]thwire.MoveState{}
+	s.crashes = map[string]thwire.CrashRecord{}
 	s.suspectDeadlines = map[string]time.Time{}
 	s.deadExpiry = map[string]time.Time{}
 	s.clearChanges()
@@ -67,11 +70,12 @@
 	s.changed.members = map[string]*pendingChange{}
 	s.changed.held = map[string]*pendingChange{}
 	s.changed.moveStates = map[string]string{}
+	s.changed.crashes = map[string]string{}
 	s.changed.urgent = false
 }
 
 func (s *state) hasChanges() bool {
-	return len(s.changed.members)+len(s.changed.held)+len(s.changed.moveStates) > 0
+	return len(s.changed.members)+len(s.changed.held)+len(s.changed.moveStates)+len(s.changed.crashes) > 0
 }
 
 // toggleChecksum adds a record to the checksums, or removes one that is included.
--- a/thmember/summary.go
+++ b/thmember/summary.go
@@ -26,6 +26,7 @@
 	for _, f := range s.moveStates {
 		summary.Facts = append(summary.Facts, f)
 	}
+	summary.Crashes = s.crashRecords()
 	return summary
 }
 
@@ -104,6 +105,7 @@
 			update.Facts = append(update.Facts, f)
 		}
 	}
+	update.Crashes = s.crashesMissingFrom(summary)
 	return update
 }
 
@@ -184,6 +186,10 @@
 		grow(update.Facts[i].Msgsize())
 		part.Facts = append(part.Facts, update.Facts[i])
 	}
+	for i := range update.Crashes {
+		grow(update.Crashes[i].Msgsize())
+		part.Crashes = append(part.Crashes, update.Crashes[i])
+	}
 	if size > 0 {
 		parts = append(parts, part)
 	}
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -132,6 +132,12 @@
 		c.RetryBudget.CountRequest(c.basePool)
 	}
 	for {
+		if err := c.checkQuarantine(); err != nil {
+			if c.unknownErr != nil {
+				return c.unknownErr
+			}
+			return err
+		}
 		c.attempts++
 		err := c.attempt()
 		if err == nil || c.headSent {
@@ -140,10 +146,12 @@
 		if readErr := c.body.callerErr(); readErr != nil {
 			return therror.Wrap(therror.Cancelled, readErr, "read of the request body failed")
 		}
-		if therror.IsNotRun(err) {
-			// Calls that the new version of a move rejects go to the old one.
+		if therror.IsNotRun(err) || therror.Is(err, therror.Crashed) {
+			// Calls that the new version of a move rejects, or at which it crashes, go to
+			// the old one.
 			c.open.Pool = c.basePool
-		} else {
+		}
+		if !therror.IsNotRun(err) {
 			c.unknownErr = err
 		}
 		if c.Log != nil && c.Log.IsDebug() {
@@ -199,7 +207,7 @@
 	if a := therror.ResponseTo(k); a.NotRun {
 		return a.Retryable
 	}
-	return !c.open.Once && (k == therror.Broken || k == therror.Unknown || k == therror.Internal)
+	return !c.open.Once && (k == therror.Broken || k == therror.Crashed || k == therror.Unknown || k == therror.Internal)
 }
 
 // choose picks a server and skips peers that have sent GoAway.
@@ -246,6 +254,7 @@
 		c.observe(m.Name, result)
 	}()
 	err = c.dispatch(choice, start, &result)
+	c.recordCrash(m, err)
 	if !therror.IsNotRun(err) || therror.Is(err, therror.Shed) {
 		if c.reached == 0 && c.parent.isRetry() && c.RetryBudget != nil {
 			c.RetryBudget.CountRetry(c.basePool)
--- a/thproxy/crash.go
+++ b/thproxy/crash.go
@@ -92,8 +92,8 @@
 	return err != nil && (!errors.As(err, &timeout) || !timeout.Timeout())
 }
 
-// checkCrash returns the error of a call that the backend server ended by closing its
-// connection. It says so if the server has crashed; other errors are returned unchanged.
+// checkCrash returns an error of kind Crashed for a call that the backend server ended by
+// closing its connection, if the server has crashed. Other errors are returned unchanged.
 func (t *Target) checkCrash(c Call, server thwire.Server, address netip.AddrPort, err error) error {
 	if c.Context().Err() != nil || !therror.Is(err, therror.Broken) || !isDisconnect(err) {
 		return err
@@ -105,7 +105,7 @@
 	if !crashed {
 		return err
 	}
-	return therror.Wrap(therror.Broken, err, "backend server crashed")
+	return therror.Wrap(therror.Crashed, err, "backend server crashed")
 }
 
 // isDisconnect reports whether err says that the peer closed or reset the connection.
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -17,6 +17,7 @@
 
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/thcrash"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thonce"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -125,11 +126,12 @@
 	// OnLeaving is called with the member whose backend server states in a response that it
 	// is leaving; it may be nil.
 	OnLeaving    func(m *thwire.Member)
-	Metrics      Metrics      // nil disables metrics
-	Headers      *Headers     // nil means the default names
-	LocalService string       // service of the local backend server, sent in Headers.Caller
-	RetryBudget  RetryBudget  // nil means a budget for each route, set by its Retry
-	ActiveCalls  *ActiveCalls // calls in progress at the local backend server; nil disables detection of nested calls
+	Metrics      Metrics          // nil disables metrics
+	Headers      *Headers         // nil means the default names
+	LocalService string           // service of the local backend server, sent in Headers.Caller
+	RetryBudget  RetryBudget      // nil means a budget for each route, set by its Retry
+	ActiveCalls  *ActiveCalls     // calls in progress at the local backend server; nil disables detection of nested calls
+	Crashes      *thcrash.Tracker // requests that crash backend servers; nil tracks none
 	Clock        clockwork.Clock
 	Log          hclog.Logger
 
@@ -151,6 +153,7 @@
 	open            thwire.Open
 	baseHeaderCount int // headers of open without the attempt header
 	body            body
+	fingerprint     string // see requestFingerprint; empty until it is needed
 	attempts        int
 	rejections      int // attempts that were rejected as full after one that may have reached a backend server
 	excluded        []string
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +18,7 @@
 
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/thcrash"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thonce"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -72,12 +74,15 @@
 	// OnReport receives what the backend server states about itself in each response;
 	// it may be nil.
 	OnReport    func(ServerReport)
-	Headers     *Headers     // nil means the default names
-	ActiveCalls *ActiveCalls // shared with the Ingress; nil tracks no calls
+	Headers     *Headers         // nil means the default names
+	ActiveCalls *ActiveCalls     // shared with the Ingress; nil tracks no calls
+	Crashes     *thcrash.Tracker // shared with the Ingress; nil tracks none
 	Clock       clockwork.Clock
 	Log         hclog.Logger
 
-	crashes crashDetector
+	crashes     crashDetector
+	suspectOnce sync.Once
+	suspectSlot chan struct{} // held by the suspect request that runs; see enterSuspect
 }
 
 // CallObserver receives the progress of a dispatched call as evidence about the version
@@ -144,15 +149,11 @@
 	if err != nil {
 		return err
 	}
-	pass, err := t.Gate.Enter(c.Context(), o)
+	pass, leave, err := t.admit(c)
 	if err != nil {
-		// A call whose deadline passed in the queue has not run, unlike other calls
-		// of kind Late.
-		if therror.Is(err, therror.Late) {
-			return therror.Wrap(therror.Full, err, "deadline passed in the queue")
-		}
 		return err
 	}
+	defer leave()
 	var ticket *thonce.Ticket
 	if o.Once && o.Key != "" {
 		if t.Guard == nil {
@@ -174,6 +175,30 @@
 	return c.End(trailer, t.Gate.Load(o.Route))
 }
 
+// admit waits until the call may be sent to the backend server. The caller calls leave at
+// the end of the call.
+func (t *Target) admit(c Call) (pass Pass, leave func(), err error) {
+	leave = func() {}
+	o := c.Open()
+	if o.Suspect != "" {
+		if leave, err = t.enterSuspect(c.Context(), o.Suspect); err != nil {
+			return nil, nil, err
+		}
+	}
+	if pass, err = t.Gate.Enter(c.Context(), o); err == nil {
+		if err = t.checkSuspect(o); err == nil {
+			return pass, leave, nil
+		}
+		pass.Done(0, true)
+	}
+	leave()
+	// A call whose deadline passed in the queue has not run, unlike other calls of kind Late.
+	if therror.Is(err, therror.Late) {
+		err = therror.Wrap(therror.Full, err, "deadline passed in the queue")
+	}
+	return nil, nil, err
+}
+
 // respondRepeatedKey responds 409 to an idempotency key that was used before, with
 // the recorded status of the earlier call if it is known.
 func (t *Target) respondRepeatedKey(c Call, err error) error {
--- a/thstandin/instance.go
+++ b/thstandin/instance.go
@@ -34,7 +34,7 @@
 	runs     []ExecutedRequest
 	arrivals []time.Time // when the runs began
 	active   int
-	peak     int // maximum of active
+	peak     int    // maximum of active
 	crashOn  string // request target that crashes the instance; empty for none
 	crash    func()
 	crashes  []time.Time
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -106,12 +106,22 @@
 	Calls uint64 `msg:"c,omitempty"`
 }
 
+// CrashRecord is the replicated record of a request that was in progress at backend servers
+// when they crashed. Package thcrash merges two records of a request.
+type CrashRecord struct {
+	Request string   `msg:"r"`         // fingerprint of the request
+	Round   uint64   `msg:"n"`         // increases with a response, which removes the crashes before it
+	Crashes []uint64 `msg:"c,limit=8"` // ids of the crashed processes, sorted
+	Time    int64    `msg:"t"`         // of the latest crash or response, in ms since 1970
+}
+
 // Update carries the state updates that are flooded over control connections.
 type Update struct {
 	Members []Member       `msg:"m"`
 	Marks   []StateGroup   `msg:"k"` // members by state
 	Holds   []VersionGroup `msg:"h"` // members by held version
 	Facts   []MoveState    `msg:"f"` // states of moves
+	Crashes []CrashRecord  `msg:"c,omitempty"`
 	Repair  bool           `msg:"r"` // sent by anti-entropy
 }
 
@@ -207,10 +217,11 @@
 // equal states.
 type StateDigest struct {
 	Members uint64 `msg:"m"`
-	Held    uint64 `msg:"h"` // held versions
-	Facts   uint64 `msg:"f"` // states of moves
-	Version uint64 `msg:"v"` // configuration version known
-	Count   uint64 `msg:"n"` // live members known; the side with fewer sends its Summary
+	Held    uint64 `msg:"h"`           // held versions
+	Facts   uint64 `msg:"f"`           // states of moves
+	Crashes uint64 `msg:"c,omitempty"` // crash records
+	Version uint64 `msg:"v"`           // configuration version known
+	Count   uint64 `msg:"n"`           // live members known; the side with fewer sends its Summary
 }
 
 // Summary lists the state of the sender in short form. The receiver sends the records
@@ -220,6 +231,7 @@
 	Members []StateGroup   `msg:"m"`
 	Holds   []VersionGroup `msg:"h"`
 	Facts   []MoveState    `msg:"f"`
+	Crashes []CrashRecord  `msg:"c,omitempty"`
 }
 
 // RecordRequest requests the records of members with their held versions, and the states
@@ -313,6 +325,9 @@
 	// Rate is the limit in calls per second that Instance last stated, as known to the
 	// ingress; zero without one.
 	Rate float64 `msg:"l,omitempty"`
+	// Suspect is the fingerprint of a request that may have crashed a backend server, empty
+	// for others. The target runs one such request at a time.
+	Suspect string `msg:"u,omitempty"`
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -376,6 +376,109 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *CrashRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "r"
+	o = append(o, 0x84, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Request)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Round)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+	for za0001 := range z.Crashes {
+		o = msgp.AppendUint64(o, z.Crashes[za0001])
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Time)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CrashRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Request, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Request")
+				return
+			}
+		case "n":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0002 > 8 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0002) {
+				z.Crashes = (z.Crashes)[:zb0002]
+			} else {
+				z.Crashes = make([]uint64, zb0002)
+			}
+			for za0001 := range z.Crashes {
+				z.Crashes[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0001)
+					return
+				}
+			}
+		case "t":
+			z.Time, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Time")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CrashRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Crashes) * (msgp.Uint64Size)) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Credit) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1794,13 +1897,17 @@
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(21)
-	var zb0001Mask uint32 /* 21 bits */
+	zb0001Len := uint32(22)
+	var zb0001Mask uint32 /* 22 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100000
 	}
+	if z.Suspect == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -1880,6 +1987,11 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendFloat64(o, z.Rate)
 		}
+		if (zb0001Mask & 0x200000) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendString(o, z.Suspect)
+		}
 	}
 	return
 }
@@ -2082,6 +2194,12 @@
 				err = msgp.WrapError(err, "Rate")
 				return
 			}
+		case "u":
+			z.Suspect, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Suspect")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2100,7 +2218,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect)
 	return
 }
 
@@ -2920,22 +3038,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StateDigest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "m"
-	o = append(o, 0x85, 0xa1, 0x6d)
-	o = msgp.AppendUint64(o, z.Members)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendUint64(o, z.Held)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendUint64(o, z.Facts)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Version)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Count)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Crashes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendUint64(o, z.Members)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendUint64(o, z.Held)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendUint64(o, z.Facts)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendUint64(o, z.Crashes)
+		}
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendUint64(o, z.Version)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Count)
+	}
 	return
 }
 
@@ -2979,6 +3115,12 @@
 				err = msgp.WrapError(err, "Facts")
 				return
 			}
+		case "c":
+			z.Crashes, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
 		case "v":
 			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -3005,7 +3147,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StateDigest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -3106,35 +3248,60 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Summary) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "m"
-	o = append(o, 0x83, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
-	for za0002 := range z.Holds {
-		o, err = z.Holds[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Holds", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
 		}
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
-	for za0003 := range z.Facts {
-		o, err = z.Facts[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Facts", za0003)
-			return
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
+		for za0002 := range z.Holds {
+			o, err = z.Holds[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds", za0002)
+				return
+			}
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
+		for za0003 := range z.Facts {
+			o, err = z.Facts[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Facts", za0003)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+			for za0004 := range z.Crashes {
+				o, err = z.Crashes[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0004)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -3231,6 +3398,29 @@
 					return
 				}
 			}
+		case "c":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0005 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0005) {
+				z.Crashes = (z.Crashes)[:zb0005]
+			} else {
+				z.Crashes = make([]CrashRecord, zb0005)
+			}
+			for za0004 := range z.Crashes {
+				bts, err = z.Crashes[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3257,56 +3447,85 @@
 	for za0003 := range z.Facts {
 		s += z.Facts[za0003].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Crashes {
+		s += z.Crashes[za0004].Msgsize()
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Update) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "m"
-	o = append(o, 0x85, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
-	for za0002 := range z.Marks {
-		o, err = z.Marks[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Marks", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+		for za0001 := range z.Members {
+			o, err = z.Members[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Members", za0001)
+				return
+			}
 		}
-	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
-	for za0003 := range z.Holds {
-		o, err = z.Holds[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Holds", za0003)
-			return
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
+		for za0002 := range z.Marks {
+			o, err = z.Marks[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Marks", za0002)
+				return
+			}
 		}
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
-	for za0004 := range z.Facts {
-		o, err = z.Facts[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Facts", za0004)
-			return
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
+		for za0003 := range z.Holds {
+			o, err = z.Holds[za0003].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Holds", za0003)
+				return
+			}
 		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
+		for za0004 := range z.Facts {
+			o, err = z.Facts[za0004].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Facts", za0004)
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+			for za0005 := range z.Crashes {
+				o, err = z.Crashes[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005)
+					return
+				}
+			}
+		}
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendBool(o, z.Repair)
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Repair)
 	return
 }
 
@@ -3424,6 +3643,29 @@
 					return
 				}
 			}
+		case "c":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0006 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0006) {
+				z.Crashes = (z.Crashes)[:zb0006]
+			} else {
+				z.Crashes = make([]CrashRecord, zb0006)
+			}
+			for za0005 := range z.Crashes {
+				bts, err = z.Crashes[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0005)
+					return
+				}
+			}
 		case "r":
 			z.Repair, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -3460,6 +3702,10 @@
 	for za0004 := range z.Facts {
 		s += z.Facts[za0004].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Crashes {
+		s += z.Crashes[za0005].Msgsize()
+	}
 	s += 2 + msgp.BoolSize
 	return
 }
