Keep quarantined requests through a restart of all daemons

What callers saw: after a restart of all daemons at the same moment, a request that had been quarantined crashed servers again.

Cause: the records were in the memory of the daemons alone. Class: state that a restart must not lose. Ruled out: late anti-entropy, the test waits for the contact time.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -74,6 +74,7 @@
 	sessions         sessions
 	updater          updater
 	crashes          *thcrash.Tracker
+	crashStore       *crashStore
 	departed         departedInstances
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
@@ -244,7 +245,10 @@
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
 		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
 	}
-	d.crashes = &thcrash.Tracker{Publish: d.node.MergeCrashRecord, Clock: d.Clock, Log: d.Log.Named("crash")}
+	d.crashStore = &crashStore{Daemon: d, quarantined: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
+	d.crashes = &thcrash.Tracker{
+		Publish: d.node.MergeCrashRecord, OnQuarantine: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
+	}
 	d.node.WatchCrashRecords(d.crashes.Update)
 	d.ingress.Crashes, d.target.Crashes = d.crashes, d.crashes
 }
@@ -336,10 +340,7 @@
 	}
 	d.node.Join(d.Settings.Peers.Seeds...)
 	d.announcer.start(ctx)
-	d.work.Add(1)
-	go func() {
-		defer d.work.Done()
-		d.exportMetrics(ctx)
-	}()
+	d.work.Go(func() { d.exportMetrics(ctx) })
+	d.work.Go(func() { d.crashStore.run(ctx) })
 	return nil
 }
--- a/thdaemon/restored.go
+++ b/thdaemon/restored.go
@@ -128,8 +128,8 @@
 }
 
 // wait waits for a time and returns false if the daemon stops meanwhile.
-func (r *restoredStore) wait(ctx context.Context, d time.Duration) bool {
-	t := r.Clock.NewTimer(d)
+func (d *Daemon) wait(ctx context.Context, delay time.Duration) bool {
+	t := d.Clock.NewTimer(delay)
 	defer t.Stop()
 	select {
 	case <-t.Chan():
--- a/thproof/crash_test.go
+++ b/thproof/crash_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thstandin"
 )
 
 // Bounds of the platform's rule on a request that crashes the backend servers which run it.
@@ -142,3 +144,43 @@
 		})
 	}
 }
+
+// restartAll kills all daemons at the same moment and starts them again.
+func (h *hostedFleet) restartAll() {
+	for _, n := range h.nodes {
+		n.daemon.Kill()
+	}
+	for _, n := range h.nodes {
+		n.clearBootstrap(h)
+		n.start(h)
+	}
+	h.waitServing()
+}
+
+// Guards against a request that crashes servers again after a restart of daemons: of one of
+// them, also while the store is down, and of all at the same moment.
+func TestQuarantineOutlivesRestarts(t *testing.T) {
+	h := &hostedFleet{t: t, size: 4, slots: 6, processingTime: 5 * time.Millisecond}
+	h.startNodes()
+	h.configure(1)
+	h.waitServing()
+	h.crashOn("/view/deadly")
+	h.sendAgain(http.MethodGet, "/view/deadly", "", 20*time.Millisecond, contactTime)
+	before := len(h.crashTimes())
+	assert.Assert(t, before > 0)
+
+	h.store.SetFaults(thstandin.RowStoreFaults{Unavailable: true})
+	n := h.nodes[0]
+	n.daemon.Kill()
+	n.start(h)
+	h.waitServing()
+	time.Sleep(contactTime)
+	h.sendAgain(http.MethodGet, "/view/deadly", "", 20*time.Millisecond, time.Second)
+	assert.Equal(t, len(h.crashTimes()), before, "crashes after the restart of a daemon without the store")
+
+	h.store.SetFaults(thstandin.RowStoreFaults{})
+	h.restartAll()
+	time.Sleep(contactTime)
+	h.sendAgain(http.MethodGet, "/view/deadly", "", 20*time.Millisecond, time.Second)
+	assert.Equal(t, len(h.crashTimes()), before, "crashes after the restart of all daemons")
+}
