--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -52,6 +52,7 @@
 type Request struct {
 	Fingerprint                    string
 	ID, Method, Host, Path, Caller string
+	Server                         string // daemon beside the server that crashed
 }
 
 // Active reports whether any request is on record. Without one, callers need no fingerprint.
@@ -136,7 +137,7 @@
 		return
 	}
 	t.log().Warn("request quarantined", "fingerprint", hex.EncodeToString([]byte(r.Request)), "request", request.ID, "method", request.Method,
-		"host", request.Host, "path", request.Path, "caller", request.Caller, "crashes", len(r.Crashes), "for", quarantineTime(r))
+		"host", request.Host, "path", request.Path, "caller", request.Caller, "server", request.Server, "crashes", len(r.Crashes), "for", quarantineTime(r))
 	if t.OnQuarantine != nil {
 		t.OnQuarantine(r)
 	}
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -238,7 +238,7 @@
 		OnDispatch: func(route, pool string, cold bool) (thproxy.CallObserver, bool) {
 			return d.mover.BeginServed(route, pool, cold)
 		},
-		Clock: d.Clock, Log: d.Log.Named("target"),
+		OnCrash: d.metrics.CountServerCrash, Clock: d.Clock, Log: d.Log.Named("target"),
 	}
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -205,6 +205,7 @@
 		i, o := d.node.Bytes()
 		d.metrics.AddControlBytes(int(i-bytesIn), int(o-bytesOut))
 		bytesIn, bytesOut = i, o
+		d.metrics.SetCrashRequests(d.crashes.Counts())
 		d.exportMembers()
 		d.exportMoves()
 	}
--- a/thmetric/metrics.go
+++ b/thmetric/metrics.go
@@ -50,6 +50,8 @@
 	members          *prometheus.GaugeVec
 	moves            *prometheus.GaugeVec
 	movesEnded       *prometheus.CounterVec
+	serverCrashes    *prometheus.CounterVec
+	crashRequests    *prometheus.GaugeVec
 	gauges           map[string]prometheus.Gauge // without labels; for keys see gaugeNames
 
 	mutex      sync.Mutex // held while a class is added
@@ -160,6 +162,20 @@
 	m.movesEnded.WithLabelValues("done").Inc()
 }
 
+// CountServerCrash counts a crash of the local backend server.
+func (m *Metrics) CountServerCrash() {
+	m.once.Do(m.register)
+	m.serverCrashes.WithLabelValues().Inc()
+}
+
+// SetCrashRequests sets the number of requests that may have crashed a backend server, and of
+// those that are quarantined.
+func (m *Metrics) SetCrashRequests(suspect, quarantined int) {
+	m.once.Do(m.register)
+	m.crashRequests.WithLabelValues("suspect").Set(float64(suspect))
+	m.crashRequests.WithLabelValues("quarantined").Set(float64(quarantined))
+}
+
 func (m *Metrics) setGauge(name string, value float64) {
 	m.once.Do(m.register)
 	m.gauges[name].Set(value)
@@ -231,6 +247,9 @@
 	// Creates both series at zero, so that an alert sees the first increase.
 	m.movesEnded.WithLabelValues("done")
 	m.movesEnded.WithLabelValues("reverted")
+	m.serverCrashes = m.newCounter("server_crashes_total", "Crashes of the local backend server while it ran calls.")
+	m.serverCrashes.WithLabelValues()
+	m.crashRequests = m.newGauge("crash_requests", "Requests that may have crashed a backend server, and quarantined ones.", "state")
 	m.gauges = map[string]prometheus.Gauge{}
 	for _, g := range [][2]string{
 		{"version", "Configuration version held."},
--- a/thmetric/metrics_test.go
+++ b/thmetric/metrics_test.go
@@ -43,9 +43,13 @@
 	m.SetAdmission(10, 5, 1)
 	m.SetMoves(2, 1)
 	m.CountEndedMove(true)
+	m.CountServerCrash()
+	m.SetCrashRequests(5, 1)
 	assert.Equal(t, testutil.ToFloat64(m.callsTotal.WithLabelValues(NoClass, OutcomeOK)), 1.0)
 	assert.Equal(t, testutil.ToFloat64(m.controlBytes.WithLabelValues("out")), 5.0)
 	assert.Equal(t, testutil.ToFloat64(m.gauges["version"]), 7.0)
+	assert.Equal(t, testutil.ToFloat64(m.serverCrashes.WithLabelValues()), 1.0)
+	assert.Equal(t, testutil.ToFloat64(m.crashRequests.WithLabelValues("quarantined")), 1.0)
 	problems, err := testutil.GatherAndLint(m.Registry())
 	assert.NilError(t, err)
 	for _, p := range problems {
--- a/thproxy/crash.go
+++ b/thproxy/crash.go
@@ -99,6 +99,9 @@
 		return err
 	}
 	crashed, first := t.crashes.hasCrashed(server, address)
+	if first && t.OnCrash != nil {
+		t.OnCrash()
+	}
 	if first && t.Log != nil {
 		t.Log.Warn("backend server crashed", "instance", server.Instance, "version", server.Version, "born", server.Born, "address", address)
 	}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -77,8 +77,10 @@
 	Headers     *Headers         // nil means the default names
 	ActiveCalls *ActiveCalls     // shared with the Ingress; nil tracks no calls
 	Crashes     *thcrash.Tracker // shared with the Ingress; nil tracks none
-	Clock       clockwork.Clock
-	Log         hclog.Logger
+	// OnCrash is called when the backend server has crashed; it may be nil.
+	OnCrash func()
+	Clock   clockwork.Clock
+	Log     hclog.Logger
 
 	crashes     crashDetector
 	suspectOnce sync.Once
