Count no crash when a server that leaves ends

What callers could see: calls in progress at a server that had announced its departure became suspect when it ended, and after two such ends they would have been quarantined.

Cause: the probe finds no listener after a planned end either. Ruled out: replaced servers, whose calls are refused by instance before. Change: the target looks at the current state of its server first. Measured: TestEndOfLeavingServerIsNoCrash failed before.

--- a/thproxy/crash.go
+++ b/thproxy/crash.go
@@ -98,6 +98,9 @@
 	if c.Context().Err() != nil || !therror.Is(err, therror.Broken) || !isDisconnect(err) {
 		return err
 	}
+	if current, _, ok := t.Server(); !ok || current.State == thwire.ServerLeaving {
+		return err // the end of a server that leaves is no crash
+	}
 	crashed, first := t.crashes.hasCrashed(server, address)
 	if first && t.OnCrash != nil {
 		t.OnCrash()
--- a/thproxy/crash_test.go
+++ b/thproxy/crash_test.go
@@ -4,11 +4,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thcrash"
+	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
 // crash ends the test server of the target as the end of its process does: all
@@ -62,3 +67,25 @@
 		})
 	}
 }
+
+// Guards against requests that become suspect because a server that leaves ends while it still
+// runs them.
+func TestEndOfLeavingServerIsNoCrash(t *testing.T) {
+	var m *mesh
+	m = newMesh(t, nonIdempotentRoute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { m.crash(0) }))
+	m.ingress.Crashes = &thcrash.Tracker{}
+	server, address, _ := m.targets[0].Server()
+	var leaving atomic.Bool
+	m.targets[0].Server = func() (thwire.Server, netip.AddrPort, bool) {
+		current := server
+		if leaving.Swap(true) { // from the second look on, which is after the call has begun
+			current.State = thwire.ServerLeaving
+		}
+		return current, address, true
+	}
+	response, err := m.client.Post(m.front.URL+"/x", "", nil)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Assert(t, !m.ingress.Crashes.Active())
+}
