Probe no server that keeps idle connections open

What callers could see: a server that sheds load by resetting connections got a further connection with each reset (at most ten a second), each of which may hold one of its slots briefly. Found by reading.

Cause: the probe for a crash did not use what the daemon knows already. Ruled out: taking one look at the idle connections; a process that ends closes them one by one, so they must stay open for 20 ms. Change: a server that keeps an idle connection open is not probed. Measured: TestNoProbeWhileIdleConnectionsAreOpen failed before (1 dial, then 0); the tests of crashes with real processes pass.

--- a/thproxy/crash.go
+++ b/thproxy/crash.go
@@ -20,8 +20,8 @@
 // Timing of the probe of a backend server that broke a connection.
 const (
 	crashProbeTimeout = 250 * time.Millisecond
-	// crashProbeRead is the time for which the probe's connection must stay open. A process
-	// that ends may close its connections before its listener.
+	// crashProbeRead is the time for which a connection must stay open to show that the server
+	// runs. A process that ends may close its connections before its listener, one by one.
 	crashProbeRead = 20 * time.Millisecond
 	// crashProbeValidity is how long the result of a probe holds for further calls that
 	// the same process broke.
@@ -101,6 +101,9 @@
 	if current, _, ok := t.Server(); !ok || current.State == thwire.ServerLeaving {
 		return err // the end of a server that leaves is no crash
 	}
+	if t.keepsIdleConn(c.Context(), address) {
+		return err // without a probe, which would cost the server a connection
+	}
 	crashed, first := t.crashes.hasCrashed(server, address)
 	if first && t.OnCrash != nil {
 		t.OnCrash()
@@ -114,6 +117,21 @@
 	return therror.Wrap(therror.Crashed, err, "backend server crashed")
 }
 
+// keepsIdleConn reports whether the server keeps an idle connection open for crashProbeRead.
+func (t *Target) keepsIdleConn(ctx context.Context, address netip.AddrPort) bool {
+	d, ok := t.Transport.(*DirectTransport)
+	if !ok || !d.hasOpenIdleConn(address.String()) {
+		return false
+	}
+	timer := thclock.OrSystem(t.Clock).NewTimer(crashProbeRead)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+	return d.hasOpenIdleConn(address.String())
+}
+
 // isDisconnect reports whether err says that the peer closed or reset the connection.
 func isDisconnect(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
--- a/thproxy/crash_test.go
+++ b/thproxy/crash_test.go
@@ -1,13 +1,16 @@
 package thproxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -89,3 +92,36 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
 	assert.Assert(t, !m.ingress.Crashes.Active())
 }
+
+// Guards against probes of a server that only resets connections, as one that sheds load does:
+// each takes a connection of it.
+func TestNoProbeWhileIdleConnectionsAreOpen(t *testing.T) {
+	var dials atomic.Int32
+	reset := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/reset" {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(20 * time.Millisecond)
+	})
+	m := newMesh(t, nonIdempotentRoute, reset)
+	m.targets[0].crashes.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	var calls sync.WaitGroup
+	for range 4 { // leaves idle connections
+		calls.Go(func() {
+			response, err := m.client.Get(m.front.URL + "/ok")
+			assert.Check(t, err)
+			response.Body.Close()
+		})
+	}
+	calls.Wait()
+	for range 2 {
+		response, err := m.client.Post(m.front.URL+"/reset", "", nil)
+		assert.NilError(t, err)
+		response.Body.Close()
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	}
+	assert.Equal(t, dials.Load(), int32(0))
+}
--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -223,6 +224,14 @@
 	}
 }
 
+// hasOpenIdleConn reports whether the server at the address keeps an idle connection open,
+// so that its process runs.
+func (d *DirectTransport) hasOpenIdleConn(address string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.ContainsFunc(d.idle, func(c *directConn) bool { return c.address == address && c.isIdle() })
+}
+
 // isIdle reports whether a connection is open and has no unread input.
 func (c *directConn) isIdle() bool {
 	if c.reader.Buffered() > 0 {
