Ignore member records with numbers out of range

What callers could see: a record with the largest sequence number or start time, as from a damaged message, made a live daemon dead for the whole fleet for good: its owner could publish none that is newer.

Cause: a replicated counter without an upper limit. Change: such records are not valid.

--- a/thmember/flood.go
+++ b/thmember/flood.go
@@ -190,7 +190,10 @@
 // mergeMember merges a member record; a record of this daemon may be refuted. The
 // caller holds the mutex.
 func (n *Node) mergeMember(m thwire.Member, from string, now time.Time) {
-	if m.Name == n.Member.Name {
+	switch {
+	case !isValid(m):
+		return
+	case m.Name == n.Member.Name:
 		n.refute(m, now)
 		return
 	}
--- a/thmember/state.go
+++ b/thmember/state.go
@@ -1,6 +1,7 @@
 package thmember
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,12 @@
 	maxMoveStates  = 512
 	maxNameBytes   = 64  // of a name
 	maxReasonBytes = 200 // of the reason of a move's state
+
+	// Limits of a record. An owner could not publish a newer record than one above them.
+	maxIncarnation   = math.MaxInt64
+	maxSequence      = 1 << 62
+	maxSlots         = 1 << 20
+	maxInstanceBytes = 200
 )
 
 // deadRetention is how long a dead member is kept and dialled from time to time.
@@ -90,12 +97,14 @@
 	}
 }
 
-// isValid reports whether a record has a name, a known state and no overlong text.
+// isValid reports whether a record has a name, a known state, no overlong text and no number
+// out of range.
 func isValid(m thwire.Member) bool {
-	if m.Server != nil && (len(m.Server.Service) > maxNameBytes || len(m.Server.Version) > maxNameBytes) {
+	if s := m.Server; s != nil && (len(s.Service) > maxNameBytes || len(s.Version) > maxNameBytes ||
+		len(s.Instance) > maxInstanceBytes || s.Slots < 0 || s.Slots > maxSlots) {
 		return false
 	}
-	return m.Name != "" && len(m.Name) <= maxNameBytes && len(m.Zone) <= maxNameBytes && len(m.Region) <= maxNameBytes &&
+	return m.Incarnation <= maxIncarnation && m.Sequence <= maxSequence && m.Name != "" && len(m.Name) <= maxNameBytes && len(m.Zone) <= maxNameBytes && len(m.Region) <= maxNameBytes &&
 		m.State >= thwire.MemberAlive && m.State <= thwire.MemberDead
 }
 
