Ignore announcements with addresses that no daemon can have

What callers could see: nothing at once; daemons dialled port 0, the unspecified or a multicast address of an odd announcement again and again.

Cause: only the syntax of the address was checked. Ruled out: undecodable announcements, numbers beyond 64 bits, nesting and long texts, which the same test covers and which were ignored before. Change: such announcements are ignored like undecodable ones. Measured: TestOddAnnouncementsAreIgnored failed before (five announcements in place of one).

--- a/thstore/announce.go
+++ b/thstore/announce.go
@@ -66,6 +66,11 @@
 	return f, nil
 }
 
+// isDialable reports whether a daemon can listen at an address.
+func isDialable(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
 func memberKey(name string) thplatform.Key {
 	return thplatform.Key{Partition: partitionMember, Sort: name}
 }
@@ -112,7 +117,7 @@
 		if !i.Expiry.IsZero() && !i.Expiry.After(now) {
 			continue
 		}
-		if err := json.Unmarshal(i.Body, &a); err != nil || a.Name != i.Key.Sort || !a.Peer.IsValid() {
+		if err := json.Unmarshal(i.Body, &a); err != nil || a.Name != i.Key.Sort || !isDialable(a.Peer) {
 			s.log().Warn("ignoring corrupt announcement", "name", i.Key.Sort, "error", err)
 			continue
 		}
