Let operators list and release quarantined requests

Operators had no way to end a quarantine after they had repaired a server; it lasts up to 256 hours where copies of a request crash several servers at the same time.

Cause: the design left the end to time alone. Ruled out: ending it with each new process of a server, which a crash brings too. Change: status lists quarantined requests; a release at any daemon begins a new round of the record, which the fleet and the store take over.

--- a/thadmin/admin.go
+++ b/thadmin/admin.go
@@ -12,9 +12,10 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/therror"
 )
 
-// Admin serves /metrics, /health, /ready, /status and /poke. All fields are
+// Admin serves /metrics, /health, /ready, /status, /poke and /release. All fields are
 // optional: without Gatherer there is no /metrics, without Health and Ready the
 // daemon counts as healthy and ready, without Status /status responds with 503,
 // and without Poke /poke has no effect.
@@ -27,7 +28,10 @@
 	// ReceiveChange is called with a change that an operator's command committed
 	// and sent with /poke. If nil, /poke ignores its body.
 	ReceiveChange func(thconfig.Change)
-	Log           hclog.Logger
+	// Release ends the quarantine of the request with a fingerprint; see thcrash. If nil,
+	// no request is quarantined.
+	Release func(fingerprint string) error
+	Log     hclog.Logger
 }
 
 // Readiness is the response body of /ready.
@@ -54,6 +58,7 @@
 	mux.HandleFunc("GET /ready", a.ready)
 	mux.HandleFunc("GET /status", a.status)
 	mux.HandleFunc("POST /poke", a.poke)
+	mux.HandleFunc("POST /release/{fingerprint}", a.release)
 	return mux
 }
 
@@ -110,6 +115,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// release handles /release. The response has the status of the error, or 204.
+func (a *Admin) release(w http.ResponseWriter, r *http.Request) {
+	err := error(therror.New(therror.Absent, "no request is quarantined"))
+	if a.Release != nil {
+		err = a.Release(r.PathValue("fingerprint"))
+	}
+	if err != nil {
+		http.Error(w, err.Error(), therror.ResponseTo(therror.KindOf(err)).Status)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (a *Admin) writeJSON(w http.ResponseWriter, status int, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/thadmin/client.go
+++ b/thadmin/client.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
@@ -67,6 +69,14 @@
 	return err
 }
 
+// Release makes the daemon, and through it the fleet, end the quarantine of a request. The
+// error is of kind Bad for a malformed fingerprint, and Absent if the request is not
+// quarantined.
+func (c *Client) Release(ctx context.Context, fingerprint string) error {
+	_, err := c.do(ctx, http.MethodPost, "/release/"+url.PathEscape(fingerprint), nil)
+	return err
+}
+
 // do sends a request and returns the response body.
 func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	timeout := c.Timeout
@@ -94,6 +104,10 @@
 		return nil, c.wrapError(err)
 	case len(content) > maxResponseSize:
 		return nil, therror.New(therror.Broken, "admin address %s: response of %s exceeds %d bytes", c.Address, path, maxResponseSize)
+	case resp.StatusCode == http.StatusBadRequest:
+		return nil, therror.New(therror.Bad, "admin address %s: %s", c.Address, strings.TrimSpace(string(content)))
+	case resp.StatusCode == http.StatusNotFound:
+		return nil, therror.New(therror.Absent, "admin address %s: %s", c.Address, strings.TrimSpace(string(content)))
 	case resp.StatusCode/100 != 2:
 		return nil, therror.New(therror.Down, "admin address %s: %s answered %s", c.Address, path, resp.Status)
 	}
--- a/thadmin/status.go
+++ b/thadmin/status.go
@@ -15,6 +15,16 @@
 	Moves    []MoveEntry    `json:"moves"`
 	Platform PlatformStatus `json:"platform"`
 	Pools    []PoolEntry    `json:"pools"`
+
+	Quarantine []QuarantineEntry `json:"quarantine,omitempty"`
+}
+
+// QuarantineEntry describes a request that is rejected since it has crashed backend servers.
+type QuarantineEntry struct {
+	Fingerprint string    `json:"fingerprint"`
+	Crashes     int       `json:"crashes"`
+	Since       time.Time `json:"since"` // of the latest crash
+	Until       time.Time `json:"until"`
 }
 
 // SelfStatus describes the responding daemon.
--- a/thcommand/commands.go
+++ b/thcommand/commands.go
@@ -7,6 +7,8 @@
 	poolHelp  = "A pool selects backend servers by service and backend version. "
 	moveHelp  = "A move shifts the traffic of a route from its pool to another one in steps, by a deadline, and reverts when the new version is bad. "
 	zoneHelp  = "An availability zone that is out receives no new work. "
+
+	quarantineHelp = "A request that crashes the backend servers which run it is rejected by all daemons. "
 )
 
 // commands returns all commands with their help texts.
@@ -35,6 +37,10 @@
 			{name: "in", short: "Return a zone to service", long: "Returns a zone to service; its traffic ramps up over 10 s." + editHelp, options: &zoneIn{editor: editor{session: s}}},
 			{name: "list", short: "List zones", long: "Lists the zones that were ever taken out and, with --admin, all zones of live daemons.", options: &zoneList{session: s}},
 		}},
+		{name: "quarantine", short: "Show and release requests that crash backend servers", long: quarantineHelp, subcommands: []command{
+			{name: "list", short: "List quarantined requests", long: quarantineHelp + "Lists the requests that the daemon at --admin rejects. The log line 'request quarantined' has method, host, path and caller of each.", options: &quarantineList{session: s}},
+			{name: "release", short: "End the quarantine of a request", long: quarantineHelp + "Ends the quarantine in the whole fleet, as after a repair of the backend servers. Two more crashes quarantine the request again.", options: &quarantineRelease{session: s}},
+		}},
 		{name: "status", short: "Show the live state of the fleet", long: "Shows the state of the fleet as seen by the daemon at --admin: versions, lagging daemons, backend servers, zones, moves and the platform. Exit code 8 when a version alarm is on.", options: &statusCommand{session: s}},
 		{name: "recover", short: "Commit above the fleet's version", long: "After a restore of the table from a backup, the store's version is at or below the fleet's and daemons refuse it (alarm older or diverged). This commits the store's present tables above the fleet's version, read from --admin, or above --above. Check the tables first: changes lost by the restore stay lost." + editHelp, options: &recoverCommand{editor: editor{session: s}}},
 		{name: "settings", short: "Check and describe settings", long: "Works on settings files; needs no platform.", subcommands: []command{
--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/turmerichaven/turmerichaven/thclock"
+	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -36,11 +38,11 @@
 type Tracker struct {
 	// Publish floods a record that has changed here. It must not call the Tracker.
 	Publish func(thwire.CrashRecord)
-	// OnQuarantine is called with a record by which this daemon quarantines a request; it may
-	// be nil.
-	OnQuarantine func(thwire.CrashRecord)
-	Clock        clockwork.Clock
-	Log          hclog.Logger
+	// Store is called with a record by which this daemon quarantines a request or ends its
+	// quarantine; it may be nil.
+	Store func(thwire.CrashRecord)
+	Clock clockwork.Clock
+	Log   hclog.Logger
 
 	mutex   sync.Mutex
 	records map[string]thwire.CrashRecord
@@ -138,17 +140,19 @@
 	}
 	t.log().Warn("request quarantined", "fingerprint", hex.EncodeToString([]byte(r.Request)), "request", request.ID, "method", request.Method,
 		"host", request.Host, "path", request.Path, "caller", request.Caller, "server", request.Server, "crashes", len(r.Crashes), "for", quarantineTime(r))
-	if t.OnQuarantine != nil {
-		t.OnQuarantine(r)
-	}
+	t.store(r)
 }
 
 // RecordResponse records that a backend server has responded to a request, which is proof
 // that it does not crash servers.
 func (t *Tracker) RecordResponse(fingerprint string) {
-	if !t.Active() {
-		return
+	if t.Active() {
+		t.clear(fingerprint, "response")
 	}
+}
+
+// clear begins a new round of the record of a request, if it has crashes.
+func (t *Tracker) clear(fingerprint, by string) {
 	t.mutex.Lock()
 	old, found := t.records[fingerprint]
 	if !found || len(old.Crashes) == 0 {
@@ -159,10 +163,52 @@
 	r := thwire.CrashRecord{Request: fingerprint, Round: old.Round + 1, Time: now.UnixMilli()}
 	t.put(r)
 	t.mutex.Unlock()
+	t.publish(r)
 	if isQuarantined(old, now) {
-		t.log().Info("request released from quarantine by a response", "fingerprint", hex.EncodeToString([]byte(fingerprint)), "crashes", len(old.Crashes))
+		t.log().Info("request released from quarantine", "fingerprint", hex.EncodeToString([]byte(fingerprint)), "crashes", len(old.Crashes), "by", by)
+		t.store(r)
 	}
-	t.publish(r)
+}
+
+// Release ends the quarantine of a request for an operator. The fingerprint is hexadecimal.
+// The error is of kind Bad for a malformed fingerprint, and Absent if the request is not
+// quarantined.
+func (t *Tracker) Release(fingerprint string) error {
+	f, err := hex.DecodeString(fingerprint)
+	if err != nil || len(f) != fingerprintSize {
+		return therror.New(therror.Bad, "a fingerprint has %d hexadecimal digits", 2*fingerprintSize)
+	}
+	if state, _ := t.State(string(f)); state != Quarantined {
+		return therror.New(therror.Absent, "request %s is not quarantined", fingerprint)
+	}
+	t.clear(string(f), "operator")
+	return nil
+}
+
+// Entry is a quarantined request.
+type Entry struct {
+	Fingerprint string // hexadecimal
+	Crashes     int
+	Since       time.Time // of the latest crash
+	Until       time.Time // end of the quarantine
+}
+
+// Quarantine returns the quarantined requests, sorted by fingerprint.
+func (t *Tracker) Quarantine() []Entry {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := t.now()
+	var entries []Entry
+	for _, r := range t.records {
+		if isQuarantined(r, now) && !t.isExplained(r, now) {
+			since := time.UnixMilli(r.Time).UTC()
+			entries = append(entries, Entry{
+				Fingerprint: hex.EncodeToString([]byte(r.Request)), Crashes: len(r.Crashes), Since: since, Until: since.Add(quarantineTime(r)),
+			})
+		}
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	return entries
 }
 
 // Update merges a record of the fleet, and removes expired ones.
@@ -224,6 +270,12 @@
 	}
 }
 
+func (t *Tracker) store(r thwire.CrashRecord) {
+	if t.Store != nil {
+		t.Store(r)
+	}
+}
+
 func (t *Tracker) publish(r thwire.CrashRecord) {
 	if t.Publish != nil {
 		t.Publish(r)
--- a/thcrash/tracker_test.go
+++ b/thcrash/tracker_test.go
@@ -1,6 +1,7 @@
 package thcrash
 
 import (
+	"encoding/hex"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -34,7 +36,7 @@
 func TestTwoCrashesQuarantine(t *testing.T) {
 	tracker, _ := newTestTracker()
 	quarantined := 0
-	tracker.OnQuarantine = func(thwire.CrashRecord) { quarantined++ }
+	tracker.Store = func(thwire.CrashRecord) { quarantined++ }
 	assert.Assert(t, !tracker.Active())
 	tracker.requireState(t, 1, Unknown)
 	tracker.crash(1, 10)
@@ -125,6 +127,30 @@
 	tracker.requireState(t, 2, Unknown)
 }
 
+// Guards against a quarantine that an operator can't end, and against one that the store or
+// the fleet keeps afterwards.
+func TestReleaseEndsQuarantine(t *testing.T) {
+	tracker, _ := newTestTracker()
+	other, _ := newTestTracker()
+	var stored []thwire.CrashRecord
+	tracker.Store = func(r thwire.CrashRecord) { stored = append(stored, r) }
+	tracker.Publish = other.Update
+	tracker.crash(1, 10)
+	tracker.crash(1, 11)
+	entries := tracker.Quarantine()
+	assert.Equal(t, len(entries), 1)
+	assert.Equal(t, entries[0].Crashes, 2)
+	assert.Equal(t, entries[0].Until.Sub(entries[0].Since), time.Hour)
+	assert.Assert(t, therror.Is(tracker.Release("xyz"), therror.Bad))
+	assert.Assert(t, therror.Is(tracker.Release(hex.EncodeToString([]byte(fingerprint(2)))), therror.Absent))
+	assert.NilError(t, tracker.Release(entries[0].Fingerprint))
+	tracker.requireState(t, 1, Acquitted)
+	other.requireState(t, 1, Acquitted)
+	assert.Equal(t, len(tracker.Quarantine()), 0)
+	assert.Equal(t, len(stored), 2)
+	assert.Assert(t, stored[1].Round > stored[0].Round)
+}
+
 // Guards against a table that grows without bound, or that loses a quarantined request to
 // suspect ones, where each request that crashes a server is a new one.
 func TestFullTableKeepsQuarantinedRequests(t *testing.T) {
--- a/thdaemon/crashes.go
+++ b/thdaemon/crashes.go
@@ -29,13 +29,13 @@
 // daemons at the same moment. Otherwise daemons that start get them from the others.
 type crashStore struct {
 	*Daemon
-	quarantined chan thwire.CrashRecord // to be stored
+	waiting chan thwire.CrashRecord // records to store, of requests that were quarantined or released
 }
 
 // offer has a record stored. It drops it when many are waiting.
 func (c *crashStore) offer(r thwire.CrashRecord) {
 	select {
-	case c.quarantined <- r:
+	case c.waiting <- r:
 	default:
 		c.Log.Warn("crash record not stored, too many are waiting", "fingerprint", hex.EncodeToString([]byte(r.Request)))
 	}
@@ -51,11 +51,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-c.quarantined:
+		case r := <-c.waiting:
 			if !c.wait(ctx, crashStoreDelay) {
 				return
 			}
-			if state, _ := c.crashes.State(r.Request); state == thcrash.Quarantined {
+			if state, _ := c.crashes.State(r.Request); state == thcrash.Quarantined || len(r.Crashes) == 0 {
 				c.retry(ctx, "store a crash record", func(ctx context.Context) error { return c.write(ctx, r) })
 			}
 		}
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -245,12 +245,13 @@
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
 		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
 	}
-	d.crashStore = &crashStore{Daemon: d, quarantined: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
+	d.crashStore = &crashStore{Daemon: d, waiting: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
 	d.crashes = &thcrash.Tracker{
-		Publish: d.node.MergeCrashRecord, OnQuarantine: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
+		Publish: d.node.MergeCrashRecord, Store: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
 	}
 	d.node.WatchCrashRecords(d.crashes.Update)
 	d.ingress.Crashes, d.target.Crashes = d.crashes, d.crashes
+	d.admin.Release = d.crashes.Release
 }
 
 // rejectsCalls reports whether the target rejects new calls. It does so without a
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -75,6 +75,9 @@
 		},
 		Platform: thadmin.PlatformStatus{Open: d.platform.table.Stats().Breaker == thplatform.BreakerOpen},
 	}
+	for _, e := range d.crashes.Quarantine() {
+		s.Quarantine = append(s.Quarantine, thadmin.QuarantineEntry(e))
+	}
 	view := d.node.View()
 	if view == nil {
 		return s
--- a/thproof/crash_test.go
+++ b/thproof/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/turmerichaven/turmerichaven/thadmin"
 	"github.com/turmerichaven/turmerichaven/thstandin"
 )
 
@@ -158,7 +160,8 @@
 }
 
 // Guards against a request that crashes servers again after a restart of daemons: of one of
-// them, also while the store is down, and of all at the same moment.
+// them, also while the store is down, and of all at the same moment. Also guards against a
+// release that a restart of all daemons undoes.
 func TestQuarantineOutlivesRestarts(t *testing.T) {
 	h := &hostedFleet{t: t, size: 4, slots: 6, processingTime: 5 * time.Millisecond}
 	h.startNodes()
@@ -183,4 +186,16 @@
 	time.Sleep(contactTime)
 	h.sendAgain(http.MethodGet, "/view/deadly", "", 20*time.Millisecond, time.Second)
 	assert.Equal(t, len(h.crashTimes()), before, "crashes after the restart of all daemons")
+
+	// An operator ends the quarantine at one daemon, for the fleet and the store.
+	admin := &thadmin.Client{Address: netip.AddrPortFrom(netip.MustParseAddr(n.ip()), hostedAdminPort)}
+	status, err := admin.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(status.Quarantine), 1)
+	assert.NilError(t, admin.Release(t.Context(), status.Quarantine[0].Fingerprint))
+	time.Sleep(time.Second)
+	h.restartAll()
+	time.Sleep(time.Second)
+	h.sendAgain(http.MethodGet, "/view/deadly", "", 20*time.Millisecond, time.Second)
+	assert.Assert(t, len(h.crashTimes()) > before, "still quarantined after the release")
 }
