Quarantine no popular request when servers crash together

What callers could see: two servers that crashed at the same moment for another reason, each with a copy of a popular request in progress, had that request rejected in the whole fleet for an hour.

Cause: two crashes within the time of flooding counted, before any daemon could have seen a response between them. Evidence: TestSimultaneousCrashesQuarantineNothing failed before (502). Ruled out: counting responses of the last minute at each ingress (a fingerprint for each call, and late for a request that has just become deadly).

Change: at least one of the crashes must be one at which the request was the only suspect of its server; until then it is suspect.

--- a/thcrash/model_test.go
+++ b/thcrash/model_test.go
@@ -25,7 +25,9 @@
 	rate                    float64       // ordinary calls per second
 	deadly                  int           // different requests that crash servers
 	deadlyRate              float64       // of all of them
+	popular                 float64       // fraction of the ordinary calls that are one request
 	crashInterval           time.Duration // between crashes of other causes; zero for none
+	crashed                 int           // servers that crash together then
 	work, crashAfter        time.Duration
 	restart, floodDelay     time.Duration
 
@@ -83,14 +85,20 @@
 		}
 		if m.random.Float64() < m.rate*modelTick.Seconds() {
 			next++
-			m.arrive(next, m.random.IntN(m.daemons))
+			request := next
+			if m.random.Float64() < m.popular {
+				request = 0
+			}
+			m.arrive(request, m.random.IntN(m.daemons))
 		}
 		if m.random.Float64() < m.deadlyRate*modelTick.Seconds() {
 			m.arrive(-1-m.random.IntN(m.deadly), m.random.IntN(m.daemons))
 		}
 		if m.crashInterval > 0 && now.After(nextCrash) {
 			nextCrash = now.Add(m.crashInterval)
-			m.crash(m.fleet[m.random.IntN(m.servers)])
+			for _, i := range m.random.Perm(m.servers)[:m.crashed] {
+				m.crash(m.fleet[i])
+			}
 		}
 		for _, s := range m.fleet {
 			m.step(s)
@@ -113,7 +121,7 @@
 	state, _ := m.trackers[c.daemon].State(fingerprint(c.request + 1<<20))
 	c.suspect = state == Suspect
 	if state == Quarantined {
-		if c.request > 0 {
+		if c.request >= 0 {
 			m.rejected++
 		}
 		return
@@ -172,11 +180,11 @@
 	calls := s.calls
 	s.calls, s.backAt = nil, m.clock.Now().Add(m.restart)
 	for _, c := range calls {
-		m.trackers[c.daemon].RecordCrash(Request{Fingerprint: fingerprint(c.request + 1<<20)}, s.process)
+		m.trackers[c.daemon].RecordCrash(Request{Fingerprint: fingerprint(c.request + 1<<20)}, s.process, c.suspect)
 		switch {
 		case c.attempts < 2:
 			m.waiting = append(m.waiting, c)
-		case c.request > 0:
+		case c.request >= 0:
 			m.failed++
 		}
 	}
@@ -187,18 +195,27 @@
 // quarantined because they stood beside one. Pattern: a service of four servers with six slots,
 // 72 calls a second, each a different request, and one or several requests that crash servers
 // and come again two times a second at any of 13 daemons, also while servers crash for other
-// reasons.
+// reasons, one or two at the same moment, and where half of the calls are one request.
 func TestFleetQuarantinesOnlyWhatCrashes(t *testing.T) {
 	for _, c := range []struct {
 		name          string
 		deadly        int
 		crashInterval time.Duration
-	}{{"one request", 1, 0}, {"three requests", 3, 0}, {"one request beside other crashes", 1, 2 * time.Second}, {"other crashes alone", 0, time.Second}} {
+		crashed       int
+		popular       float64
+	}{
+		{"one request", 1, 0, 0, 0},
+		{"three requests", 3, 0, 0, 0},
+		{"one request beside other crashes", 1, 2 * time.Second, 1, 0},
+		{"other crashes alone", 0, time.Second, 1, 0},
+		{"a popular request beside crashes of two servers", 0, 4 * time.Second, 2, 0.5},
+		{"a popular request beside one that crashes servers", 1, 0, 0, 0.5},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			served, failed, rejected := 0, 0, 0
 			for seed := range uint64(20) {
 				m := &model{
-					daemons: 13, servers: 4, slots: 6, rate: 72, deadly: c.deadly, crashInterval: c.crashInterval,
+					daemons: 13, servers: 4, slots: 6, rate: 72, deadly: c.deadly, crashInterval: c.crashInterval, crashed: c.crashed, popular: c.popular,
 					work: 160 * time.Millisecond, crashAfter: 40 * time.Millisecond, restart: 3200 * time.Millisecond, floodDelay: 150 * time.Millisecond,
 				}
 				if c.deadly > 0 {
--- a/thcrash/record.go
+++ b/thcrash/record.go
@@ -15,8 +15,9 @@
 
 const (
 	// crashLimit is the number of crashes, without a response in between, from which on a
-	// request is quarantined. The calls that stood beside it at its first crash are retried
-	// one at a time at each server, so that a second crash tells it from them.
+	// request is quarantined, if the server ran no other suspect request at one of them. The
+	// calls that stood beside it at its first crash are retried one at a time at each server,
+	// so that a second crash tells it from them.
 	crashLimit = 2
 	// suspicionTime is how long a request counts as suspect after a crash or a response.
 	suspicionTime = 10 * time.Minute
@@ -80,12 +81,13 @@
 	a.Crashes = slices.Compact(a.Crashes)
 	a.Crashes = a.Crashes[:min(len(a.Crashes), maxCrashes)]
 	a.Time = max(a.Time, b.Time)
+	a.Alone = a.Alone || b.Alone
 	return a
 }
 
 // Equal reports whether two records are the same.
 func Equal(a, b thwire.CrashRecord) bool {
-	return a.Request == b.Request && a.Round == b.Round && a.Time == b.Time && slices.Equal(a.Crashes, b.Crashes)
+	return a.Request == b.Request && a.Round == b.Round && a.Time == b.Time && a.Alone == b.Alone && slices.Equal(a.Crashes, b.Crashes)
 }
 
 // IsValid reports whether a received record is well formed and not expired.
@@ -103,7 +105,7 @@
 // quarantineTime returns the duration of the quarantine, zero for a request that is not
 // quarantined.
 func quarantineTime(r thwire.CrashRecord) time.Duration {
-	if len(r.Crashes) < crashLimit {
+	if len(r.Crashes) < crashLimit || !r.Alone {
 		return 0
 	}
 	d := minQuarantine
--- a/thcrash/record_test.go
+++ b/thcrash/record_test.go
@@ -15,7 +15,7 @@
 func drawRecord(t *rapid.T) thwire.CrashRecord {
 	r := thwire.CrashRecord{
 		Request: "request-00000000", Round: rapid.Uint64Range(0, 2).Draw(t, "round"),
-		Time: testTime.UnixMilli() + rapid.Int64Range(0, 5).Draw(t, "time"),
+		Time: testTime.UnixMilli() + rapid.Int64Range(0, 5).Draw(t, "time"), Alone: rapid.Bool().Draw(t, "alone"),
 	}
 	for c := range uint64(12) {
 		if rapid.Bool().Draw(t, "listed") && len(r.Crashes) < maxCrashes {
--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -112,19 +112,19 @@
 }
 
 // RecordCrash records that a request was in progress at a process of a backend server that
-// crashed; see ProcessID.
-func (t *Tracker) RecordCrash(request Request, process uint64) {
+// crashed; see ProcessID. alone means that it was the only suspect request there.
+func (t *Tracker) RecordCrash(request Request, process uint64, alone bool) {
 	if t == nil {
 		return
 	}
 	t.mutex.Lock()
 	now := t.now()
 	old := t.records[request.Fingerprint]
-	r := thwire.CrashRecord{Request: request.Fingerprint, Round: old.Round, Crashes: []uint64{process}, Time: now.UnixMilli()}
+	r := thwire.CrashRecord{Request: request.Fingerprint, Round: old.Round, Crashes: []uint64{process}, Time: now.UnixMilli(), Alone: alone}
 	if len(old.Crashes) > 0 {
 		r = Merge(old, r)
 	}
-	added := len(r.Crashes) > len(old.Crashes)
+	added := len(r.Crashes) > len(old.Crashes) || r.Alone && !old.Alone
 	if !added {
 		r.Time = old.Time
 	}
--- a/thcrash/tracker_test.go
+++ b/thcrash/tracker_test.go
@@ -21,8 +21,10 @@
 	return &Tracker{Clock: clock}, clock
 }
 
+// crash records a crash as a request of which the state is known does.
 func (t *Tracker) crash(n int, process uint64) {
-	t.RecordCrash(Request{Fingerprint: fingerprint(n)}, process)
+	state, _ := t.State(fingerprint(n))
+	t.RecordCrash(Request{Fingerprint: fingerprint(n)}, process, state == Suspect)
 }
 
 func (t *Tracker) requireState(tb testing.TB, n int, want State) {
@@ -78,8 +80,8 @@
 func TestCrashesExplainedByAnotherRequest(t *testing.T) {
 	tracker, _ := newTestTracker()
 	for request, processes := range map[int][]uint64{1: {10, 11}, 2: {10, 11, 12}, 3: {10}, 4: {10, 13}, 5: {14}} {
-		for _, p := range processes {
-			tracker.crash(request, p)
+		for i, p := range processes {
+			tracker.RecordCrash(Request{Fingerprint: fingerprint(request)}, p, i > 0)
 		}
 	}
 	tracker.requireState(t, 1, Acquitted)
@@ -88,7 +90,7 @@
 	tracker.requireState(t, 4, Quarantined)
 	tracker.requireState(t, 5, Suspect)
 	changed := tracker.Changed()
-	tracker.crash(1, 15) // a crash of its own
+	tracker.RecordCrash(Request{Fingerprint: fingerprint(1)}, 15, true) // a crash of its own
 	tracker.requireState(t, 1, Quarantined)
 	<-changed
 }
@@ -104,6 +106,24 @@
 	b.requireState(t, 1, Quarantined)
 }
 
+// Guards against a popular request that is quarantined because several servers crash at the
+// same moment, each while it runs a copy of the request.
+func TestCrashesBeforeTheNewsOnlySuspect(t *testing.T) {
+	a, _ := newTestTracker()
+	b, _ := newTestTracker()
+	var ofA, ofB thwire.CrashRecord
+	a.Publish, b.Publish = func(r thwire.CrashRecord) { ofA = r }, func(r thwire.CrashRecord) { ofB = r }
+	a.RecordCrash(Request{Fingerprint: fingerprint(1)}, 10, false)
+	a.RecordCrash(Request{Fingerprint: fingerprint(1)}, 11, false)
+	b.RecordCrash(Request{Fingerprint: fingerprint(1)}, 12, false)
+	a.Update(ofB)
+	b.Update(ofA)
+	a.requireState(t, 1, Suspect)
+	b.requireState(t, 1, Suspect)
+	a.RecordCrash(Request{Fingerprint: fingerprint(1)}, 13, true)
+	a.requireState(t, 1, Quarantined)
+}
+
 // Guards against a quarantine without end, and against one that ends so often that the request
 // goes on crashing servers.
 func TestQuarantineEndsWithOneTrial(t *testing.T) {
--- a/thmember/crashes.go
+++ b/thmember/crashes.go
@@ -88,5 +88,8 @@
 	for _, c := range r.Crashes {
 		h = hashUint64(h, c)
 	}
+	if r.Alone {
+		h = hashUint64(h, 1)
+	}
 	return mix(h)
 }
--- a/thmember/crashes_test.go
+++ b/thmember/crashes_test.go
@@ -15,7 +15,7 @@
 
 // crashRecord returns a valid record of request n at the time at.
 func crashRecord(n int, at time.Time, crashes ...uint64) thwire.CrashRecord {
-	return thwire.CrashRecord{Request: fmt.Sprintf("request-%08d", n), Crashes: crashes, Time: at.UnixMilli()}
+	return thwire.CrashRecord{Request: fmt.Sprintf("request-%08d", n), Crashes: crashes, Time: at.UnixMilli(), Alone: len(crashes) > 1}
 }
 
 // knownCrashes returns the number of crashes that the node knows of request n.
--- a/thproxy/quarantine.go
+++ b/thproxy/quarantine.go
@@ -55,7 +55,7 @@
 		c.Crashes.RecordCrash(thcrash.Request{
 			Fingerprint: c.requestFingerprint(), ID: c.id(), Method: c.request.Method, Host: c.request.Host,
 			Path: shortTarget(c.open.Target), Caller: c.LocalService, Server: m.Name,
-		}, thcrash.ProcessID(m.Name, instance, born, c.now()))
+		}, thcrash.ProcessID(m.Name, instance, born, c.now()), c.open.Suspect != "")
 	}
 }
 
--- a/thproxy/quarantine_test.go
+++ b/thproxy/quarantine_test.go
@@ -21,14 +21,15 @@
 type crashMesh struct {
 	*mesh
 
-	work    time.Duration
+	work    atomic.Int64   // ns
 	runs    []atomic.Int32 // of /deadly, by server
 	active  []atomic.Int32
 	maximum atomic.Int32 // concurrent requests at one server
 }
 
 func newCrashMesh(t *testing.T, route thconfig.Route, servers int, work time.Duration) *crashMesh {
-	m := &crashMesh{work: work, runs: make([]atomic.Int32, servers), active: make([]atomic.Int32, servers)}
+	m := &crashMesh{runs: make([]atomic.Int32, servers), active: make([]atomic.Int32, servers)}
+	m.work.Store(int64(work))
 	handlers := make([]http.Handler, servers)
 	for i := range handlers {
 		handlers[i] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.serve(i, w, r) })
@@ -50,7 +51,7 @@
 		return
 	}
 	select {
-	case <-time.After(m.work):
+	case <-time.After(time.Duration(m.work.Load())):
 		_, _ = io.WriteString(w, "served")
 	case <-r.Context().Done():
 	}
@@ -141,7 +142,7 @@
 	m := newCrashMesh(t, thconfig.Route{Retry: 100}, 1, 30*time.Millisecond)
 	for i := range suspects {
 		f := thcrash.Fingerprint(http.MethodGet, m.front.Listener.Addr().String(), fmt.Sprint("/suspect/", i), "", 0, nil)
-		m.ingress.Crashes.RecordCrash(thcrash.Request{Fingerprint: f}, 1)
+		m.ingress.Crashes.RecordCrash(thcrash.Request{Fingerprint: f}, 1, false)
 	}
 	var calls sync.WaitGroup
 	for i := range suspects {
@@ -187,7 +188,7 @@
 				return thcrash.Fingerprint(http.MethodGet, m.front.Listener.Addr().String(), path, "", 0, nil)
 			}
 			for _, path := range []string{"/first", "/second"} {
-				tracker.RecordCrash(thcrash.Request{Fingerprint: fingerprintOf(path)}, 1)
+				tracker.RecordCrash(thcrash.Request{Fingerprint: fingerprintOf(path)}, 1, false)
 			}
 			var first sync.WaitGroup
 			first.Go(func() {
@@ -204,7 +205,7 @@
 			})
 			time.Sleep(50 * time.Millisecond)
 			if c.quarantine {
-				tracker.RecordCrash(thcrash.Request{Fingerprint: fingerprintOf("/second")}, 2)
+				tracker.RecordCrash(thcrash.Request{Fingerprint: fingerprintOf("/second")}, 2, true)
 				second.Wait()
 				assert.Equal(t, m.maximum.Load(), int32(1))
 			} else {
@@ -218,3 +219,32 @@
 		})
 	}
 }
+
+// Guards against a popular request that is quarantined because several servers crash at the
+// same moment for another reason, each while it runs a copy of the request.
+func TestSimultaneousCrashesQuarantineNothing(t *testing.T) {
+	const servers = 4
+	m := newCrashMesh(t, nonIdempotentRoute, servers, 10*time.Second)
+	var calls sync.WaitGroup
+	for i := range servers - 1 {
+		calls.Go(func() {
+			status, _ := m.call(t, http.MethodPost, "/popular", "")
+			assert.Check(t, status == http.StatusBadGateway, "answered %d", status)
+		})
+		for m.active[i].Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		m.balancer.mutex.Lock()
+		m.balancer.members = append(m.balancer.members[1:], m.balancer.members[0])
+		m.balancer.mutex.Unlock()
+	}
+	for i := range servers - 1 {
+		m.crash(i)
+	}
+	calls.Wait()
+	m.work.Store(0)
+	status, _ := m.call(t, http.MethodPost, "/popular", "")
+	assert.Equal(t, status, http.StatusOK)
+	suspect, quarantined := m.ingress.Crashes.Counts()
+	assert.Equal(t, suspect+quarantined, 0)
+}
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -113,6 +113,9 @@
 	Round   uint64   `msg:"n"`         // increases with a response, which removes the crashes before it
 	Crashes []uint64 `msg:"c,limit=8"` // ids of the crashed processes, sorted
 	Time    int64    `msg:"t"`         // of the latest crash or response, in ms since 1970
+	// Alone means that one of the processes crashed while it ran the request as its only
+	// suspect one.
+	Alone bool `msg:"a,omitempty"`
 }
 
 // Update carries the state updates that are flooded over control connections.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -379,22 +379,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CrashRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "r"
-	o = append(o, 0x84, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Request)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendUint64(o, z.Round)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
-	for za0001 := range z.Crashes {
-		o = msgp.AppendUint64(o, z.Crashes[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Alone == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendString(o, z.Request)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+		for za0001 := range z.Crashes {
+			o = msgp.AppendUint64(o, z.Crashes[za0001])
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt64(o, z.Time)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendBool(o, z.Alone)
+		}
 	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Time)
 	return
 }
 
@@ -461,6 +479,12 @@
 				err = msgp.WrapError(err, "Time")
 				return
 			}
+		case "a":
+			z.Alone, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Alone")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -475,7 +499,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *CrashRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Crashes) * (msgp.Uint64Size)) + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Request) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Crashes) * (msgp.Uint64Size)) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
