Send all copies of a suspect request to one server

What callers saw: where a request that crashes servers comes several times a second, its copies waited as suspect at several servers at once, and each crashed its server before the first crash was known (up to five crashes).

Cause: each ingress chose a server for the copy by load. Evidence: TestCopiesOfSuspectMeetAtOneServer failed before (3 of 3 runs: three or four crashes, then one). Ruled out: cancelling copies in progress, see docs/design.md.

Change: a suspect request goes to the usable server that belongs to its fingerprint by rendezvous hashing, which runs one at a time and rejects those that wait once the request is quarantined.

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -14,6 +14,7 @@
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thmember"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -257,6 +258,27 @@
 	return b.scanAll(p.servers, exclude, now), nil
 }
 
+// ChooseByKey selects a usable server of the pool that is not excluded by the rendezvous hash
+// of the key, so that all daemons select the same one. Without a usable server it is Choose.
+func (b *Balancer) ChooseByKey(name, key string, exclude []string) (*Server, error) {
+	v, now := b.view.Load(), thclock.OrSystem(b.Clock).Now()
+	if v == nil || v.pools[name] == nil {
+		return b.Choose(name, exclude)
+	}
+	usable := map[string]*Server{}
+	var members []thwire.Member
+	for _, s := range v.pools[name].servers {
+		if s.class(exclude, now) == classUsable {
+			usable[s.Member.Name] = s
+			members = append(members, s.Member)
+		}
+	}
+	if len(members) == 0 {
+		return b.Choose(name, exclude)
+	}
+	return usable[thmember.Rendezvous(key, members, 1)[0].Name], nil
+}
+
 // drawPair draws two candidates and returns the one with the lower score, or nil if
 // none was drawn. In the last tier, candidates that are skipped because of their
 // weight are drawn again; in other tiers the call uses the next tier instead, so that
--- a/thbalance/balancer_test.go
+++ b/thbalance/balancer_test.go
@@ -335,3 +335,41 @@
 	assert.Equal(t, s.StatedRate(), 0.0)
 	assert.Equal(t, s.limit.Load(), int64(0))
 }
+
+// Guards against daemons that choose different servers for one key, keys that all belong to one
+// server, and servers that are chosen although they are excluded or ejected.
+func TestKeysBelongToTheSameServerEverywhere(t *testing.T) {
+	a, _ := balancer("a-1")
+	b, _ := balancer("a-2")
+	var members []thwire.Member
+	for i := range 6 {
+		members = append(members, member(fmt.Sprintf("m%d", i), fmt.Sprintf("a-%d", 1+i%2)))
+	}
+	a.Update(tables(), members)
+	b.Update(tables(), members)
+	counts := map[string]int{}
+	for i := range 600 {
+		key := fmt.Sprint("key-", i)
+		s, err := a.ChooseByKey("p", key, nil)
+		assert.NilError(t, err)
+		s.Begin() // the load does not matter
+		other, err := b.ChooseByKey("p", key, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, s.Member.Name, other.Member.Name)
+		counts[s.Member.Name]++
+		next, err := a.ChooseByKey("p", key, []string{s.Member.Name})
+		assert.NilError(t, err)
+		assert.Assert(t, next.Member.Name != s.Member.Name)
+	}
+	for name, n := range counts {
+		assert.Assert(t, n > 50 && n < 200, "%s: %d", name, n)
+	}
+	s, err := a.ChooseByKey("p", "key", nil)
+	assert.NilError(t, err)
+	s.Done(Result{Kind: therror.Crashed})
+	other, err := a.ChooseByKey("p", "key", nil)
+	assert.NilError(t, err)
+	assert.Assert(t, other.Member.Name != s.Member.Name)
+	_, err = a.ChooseByKey("none", "key", nil)
+	assert.Assert(t, therror.Is(err, therror.Unready))
+}
--- a/thdaemon/adapters.go
+++ b/thdaemon/adapters.go
@@ -28,6 +28,15 @@
 	return choice{s}, nil
 }
 
+// ChooseByKey selects the usable backend server of the pool that belongs to a key.
+func (b balancer) ChooseByKey(pool, key string, exclude []string) (thproxy.Choice, error) {
+	s, err := b.Balancer.ChooseByKey(pool, key, exclude)
+	if err != nil {
+		return nil, err
+	}
+	return choice{s}, nil
+}
+
 // choice is a chosen backend server.
 type choice struct{ server *thbalance.Server }
 
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -210,10 +210,15 @@
 	return !c.open.Once && (k == therror.Broken || k == therror.Crashed || k == therror.Unknown || k == therror.Internal)
 }
 
-// choose picks a server and skips peers that have sent GoAway.
+// choose picks a server and skips peers that have sent GoAway. Copies of a suspect request go
+// to one server, which runs them one at a time, so that a crash stops those that wait.
 func (c *call) choose() (Choice, error) {
+	pick := func() (Choice, error) { return c.Balancer.Choose(c.open.Pool, c.excluded) }
+	if c.open.Suspect != "" {
+		pick = func() (Choice, error) { return c.Balancer.ChooseByKey(c.open.Pool, c.open.Suspect, c.excluded) }
+	}
 	for {
-		choice, err := c.Balancer.Choose(c.open.Pool, c.excluded)
+		choice, err := pick()
 		if err != nil && c.open.Pool != c.basePool {
 			// The new version of a move has no available server: use the old one.
 			c.open.Pool = c.basePool
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -52,6 +52,8 @@
 // the pool has no candidates.
 type Balancer interface {
 	Choose(pool string, exclude []string) (Choice, error)
+	// ChooseByKey chooses the same server for a key at all daemons while it is usable.
+	ChooseByKey(pool, key string, exclude []string) (Choice, error)
 }
 
 // Choice is a chosen backend server. Begin is called before an attempt at the
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -64,10 +65,12 @@
 	return nil
 }
 
-// fakeBalancer chooses the first member that is not excluded.
+// fakeBalancer chooses the first member that is not excluded, from the one in turn on.
 type fakeBalancer struct {
 	members []thwire.Member
 	reuse   bool // choose the first member if all are excluded, as if it had the least load
+	inTurn  bool // choose the members in turn
+	chosen  atomic.Int64
 	mutex   sync.Mutex
 	results []Result
 }
@@ -78,14 +81,15 @@
 }
 
 func (b *fakeBalancer) Choose(_ string, exclude []string) (Choice, error) {
-next:
+	first := 0
+	if b.inTurn {
+		first = int(b.chosen.Add(1) - 1)
+	}
 	for i := range b.members {
-		for _, e := range exclude {
-			if e == b.members[i].Name {
-				continue next
-			}
+		m := &b.members[(first+i)%len(b.members)]
+		if !slices.Contains(exclude, m.Name) {
+			return fakeChoice{b, m}, nil
 		}
-		return fakeChoice{b, &b.members[i]}, nil
 	}
 	if b.reuse {
 		return fakeChoice{b, &b.members[0]}, nil
@@ -93,6 +97,16 @@
 	return nil, therror.New(therror.Unready, "no server left")
 }
 
+// ChooseByKey chooses the last member that is not excluded, whatever the key.
+func (b *fakeBalancer) ChooseByKey(pool, _ string, exclude []string) (Choice, error) {
+	for i := len(b.members) - 1; i >= 0; i-- {
+		if !slices.Contains(exclude, b.members[i].Name) {
+			return fakeChoice{b, &b.members[i]}, nil
+		}
+	}
+	return b.Choose(pool, exclude)
+}
+
 func (c fakeChoice) Member() *thwire.Member { return c.member }
 func (c fakeChoice) StatedRate() float64    { return 0 }
 func (c fakeChoice) Begin()                 {}
--- a/thproxy/quarantine_test.go
+++ b/thproxy/quarantine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/thcrash"
+	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
 // crashMesh is a mesh whose backend servers crash on each request of the path /deadly, and
@@ -47,6 +49,7 @@
 	}
 	if strings.HasPrefix(r.URL.Path, "/deadly") {
 		m.runs[server].Add(1)
+		time.Sleep(20 * time.Millisecond) // the time in which copies run beside each other
 		m.crash(server)
 		return
 	}
@@ -77,6 +80,11 @@
 	return n
 }
 
+// removeCrashed removes the servers that have crashed from the balancer.
+func (m *crashMesh) removeCrashed() {
+	m.balancer.members = slices.DeleteFunc(m.balancer.members, func(s thwire.Member) bool { return m.runs[s.Name[0]-'a'].Load() > 0 })
+}
+
 // Guards against retries that send a request to one server after the other, which it crashes,
 // and against a rejection of such a request that invites a further retry.
 func TestDeadlyRequestCrashesTwoServers(t *testing.T) {
@@ -95,7 +103,7 @@
 				status, response := m.call(t, c.method, "/deadly?x=1", c.body)
 				assert.Equal(t, status, http.StatusBadGateway)
 				assert.Equal(t, response.Header.Get(HeaderOutcome), OutcomeUnknown)
-				m.balancer.members = m.balancer.members[1:] // the server that crashed first
+				m.removeCrashed()
 			}
 			assert.Equal(t, m.crashes(), 2)
 			for range 3 {
@@ -105,7 +113,7 @@
 				assert.Equal(t, response.Header.Get("Retry-After"), "")
 			}
 			assert.Equal(t, m.crashes(), 2)
-			m.balancer.members = m.balancer.members[len(m.balancer.members)-1:]
+			m.removeCrashed()
 			status, _ := m.call(t, c.method, "/other", c.body)
 			assert.Equal(t, status, http.StatusOK)
 		})
@@ -225,6 +233,7 @@
 func TestSimultaneousCrashesQuarantineNothing(t *testing.T) {
 	const servers = 4
 	m := newCrashMesh(t, nonIdempotentRoute, servers, 10*time.Second)
+	m.balancer.inTurn = true
 	var calls sync.WaitGroup
 	for i := range servers - 1 {
 		calls.Go(func() {
@@ -234,9 +243,6 @@
 		for m.active[i].Load() == 0 {
 			time.Sleep(time.Millisecond)
 		}
-		m.balancer.mutex.Lock()
-		m.balancer.members = append(m.balancer.members[1:], m.balancer.members[0])
-		m.balancer.mutex.Unlock()
 	}
 	for i := range servers - 1 {
 		m.crash(i)
@@ -248,3 +254,26 @@
 	suspect, quarantined := m.ingress.Crashes.Counts()
 	assert.Equal(t, suspect+quarantined, 0)
 }
+
+// Guards against copies of a suspect request that crash several servers at the same time,
+// before the first crash is known: they must wait for each other at one server.
+func TestCopiesOfSuspectMeetAtOneServer(t *testing.T) {
+	const copies = 4
+	m := newCrashMesh(t, nonIdempotentRoute, 4, 0)
+	m.balancer.inTurn = true
+	for i := range m.targets {
+		m.targets[i].Crashes = m.ingress.Crashes
+	}
+	f := thcrash.Fingerprint(http.MethodPost, m.front.Listener.Addr().String(), "/deadly", "", 0, nil)
+	m.ingress.Crashes.RecordCrash(thcrash.Request{Fingerprint: f}, 1, false)
+	var calls sync.WaitGroup
+	for range copies {
+		calls.Go(func() {
+			status, _ := m.call(t, http.MethodPost, "/deadly", "")
+			assert.Check(t, status == http.StatusBadGateway, "answered %d", status)
+		})
+		time.Sleep(time.Millisecond)
+	}
+	calls.Wait()
+	assert.Equal(t, m.crashes(), 1)
+}
