Rename and simplify the tracking of crashes after a first reading

Compare, Persist and recordOutcome say what they do; the detector of crashes takes the clock of its target, and a server without an instance id that crashes again later is logged and counted again.

--- a/thcrash/record.go
+++ b/thcrash/record.go
@@ -96,9 +96,9 @@
 		time.UnixMilli(r.Time).Before(now.Add(maxClockAhead)) && now.Before(Expiry(r))
 }
 
-// Precedes orders records for the case that not all can be kept: those that are quarantined
-// first, then those that expire last.
-func Precedes(a, b thwire.CrashRecord) int {
+// Compare orders records for the case that not all can be kept: those that are quarantined
+// longest come first, then those with the latest time.
+func Compare(a, b thwire.CrashRecord) int {
 	return cmp.Or(-cmp.Compare(quarantineTime(a), quarantineTime(b)), -cmp.Compare(a.Time, b.Time), strings.Compare(a.Request, b.Request))
 }
 
--- a/thcrash/table.go
+++ b/thcrash/table.go
@@ -10,13 +10,13 @@
 // crash of a backend server, so callers can't fill the table with requests alone.
 const MaxRecords = 512
 
-// MakeRoom removes the record that comes last by Precedes from a full table, and returns it.
+// MakeRoom removes the record that comes last by Compare from a full table, and returns it.
 // kept is false if the new record r would itself be the last one; nothing is removed
 // then. All daemons thus keep the same records of a set that is too large.
 func MakeRoom(records map[string]thwire.CrashRecord, r thwire.CrashRecord) (removed thwire.CrashRecord, kept bool) {
 	last := r
 	for _, o := range records {
-		if Precedes(last, o) < 0 {
+		if Compare(last, o) < 0 {
 			last = o
 		}
 	}
--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -38,11 +38,11 @@
 type Tracker struct {
 	// Publish floods a record that has changed here. It must not call the Tracker.
 	Publish func(thwire.CrashRecord)
-	// Store is called with a record by which this daemon quarantines a request or ends its
+	// Persist is called with a record by which this daemon quarantines a request or ends its
 	// quarantine; it may be nil.
-	Store func(thwire.CrashRecord)
-	Clock clockwork.Clock
-	Log   hclog.Logger
+	Persist func(thwire.CrashRecord)
+	Clock   clockwork.Clock
+	Log     hclog.Logger
 
 	mutex   sync.Mutex
 	records map[string]thwire.CrashRecord
@@ -101,8 +101,11 @@
 	return true
 }
 
-// Changed returns a channel that is closed when a state may have changed.
+// Changed returns a channel that is closed when a state may have changed; nil for a nil Tracker.
 func (t *Tracker) Changed() <-chan struct{} {
+	if t == nil {
+		return nil
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.changed == nil {
@@ -140,7 +143,7 @@
 	}
 	t.log().Warn("request quarantined", "fingerprint", hex.EncodeToString([]byte(r.Request)), "request", request.ID, "method", request.Method,
 		"host", request.Host, "path", request.Path, "caller", request.Caller, "server", request.Server, "crashes", len(r.Crashes), "for", quarantineTime(r))
-	t.store(r)
+	t.persist(r)
 }
 
 // RecordResponse records that a backend server has responded to a request, which is proof
@@ -166,7 +169,7 @@
 	t.publish(r)
 	if isQuarantined(old, now) {
 		t.log().Info("request released from quarantine", "fingerprint", hex.EncodeToString([]byte(fingerprint)), "crashes", len(old.Crashes), "by", by)
-		t.store(r)
+		t.persist(r)
 	}
 }
 
@@ -250,7 +253,7 @@
 	return suspect, quarantined
 }
 
-// put stores a record. A full table loses the record that comes last by Precedes. The mutex
+// put stores a record. A full table loses the record that comes last by Compare. The mutex
 // is held.
 func (t *Tracker) put(r thwire.CrashRecord) {
 	if t.records == nil {
@@ -270,9 +273,9 @@
 	}
 }
 
-func (t *Tracker) store(r thwire.CrashRecord) {
-	if t.Store != nil {
-		t.Store(r)
+func (t *Tracker) persist(r thwire.CrashRecord) {
+	if t.Persist != nil {
+		t.Persist(r)
 	}
 }
 
--- a/thcrash/tracker_test.go
+++ b/thcrash/tracker_test.go
@@ -38,7 +38,7 @@
 func TestTwoCrashesQuarantine(t *testing.T) {
 	tracker, _ := newTestTracker()
 	quarantined := 0
-	tracker.Store = func(thwire.CrashRecord) { quarantined++ }
+	tracker.Persist = func(thwire.CrashRecord) { quarantined++ }
 	assert.Assert(t, !tracker.Active())
 	tracker.requireState(t, 1, Unknown)
 	tracker.crash(1, 10)
@@ -153,7 +153,7 @@
 	tracker, _ := newTestTracker()
 	other, _ := newTestTracker()
 	var stored []thwire.CrashRecord
-	tracker.Store = func(r thwire.CrashRecord) { stored = append(stored, r) }
+	tracker.Persist = func(r thwire.CrashRecord) { stored = append(stored, r) }
 	tracker.Publish = other.Update
 	tracker.crash(1, 10)
 	tracker.crash(1, 11)
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -247,7 +247,7 @@
 	}
 	d.crashStore = &crashStore{Daemon: d, waiting: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
 	d.crashes = &thcrash.Tracker{
-		Publish: d.node.MergeCrashRecord, Store: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
+		Publish: d.node.MergeCrashRecord, Persist: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
 	}
 	d.node.WatchCrashRecords(d.crashes.Update)
 	d.ingress.Crashes, d.target.Crashes = d.crashes, d.crashes
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -259,7 +259,7 @@
 		c.observe(m.Name, result)
 	}()
 	err = c.dispatch(choice, start, &result)
-	c.recordCrash(m, err)
+	c.recordOutcome(m, err)
 	if !therror.IsNotRun(err) || therror.Is(err, therror.Shed) {
 		if c.reached == 0 && c.parent.isRetry() && c.RetryBudget != nil {
 			c.RetryBudget.CountRetry(c.basePool)
--- a/thproxy/crash.go
+++ b/thproxy/crash.go
@@ -26,13 +26,15 @@
 	// crashProbeValidity is how long the result of a probe holds for further calls that
 	// the same process broke.
 	crashProbeValidity = 100 * time.Millisecond
+	// minRestartTime is the time within which a server without an instance id counts as the
+	// process that has crashed.
+	minRestartTime = time.Second
 )
 
 // crashDetector tells whether a backend server that broke a connection has crashed. A
 // crashed server has no listener, unlike one that only reset a connection.
 type crashDetector struct {
-	dial  func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
-	clock clockwork.Clock
+	dial func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
 
 	mutex   sync.Mutex // also serialises probes
 	server  thwire.Server
@@ -42,18 +44,18 @@
 
 // hasCrashed probes the server, unless it was probed just before. first is set for the
 // call whose probe found the crash.
-func (d *crashDetector) hasCrashed(server thwire.Server, address netip.AddrPort) (crashed, first bool) {
+func (d *crashDetector) hasCrashed(server thwire.Server, address netip.AddrPort, clock clockwork.Clock) (crashed, first bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	clock := thclock.OrSystem(d.clock)
-	known := d.server.Instance == server.Instance && d.server.Born == server.Born
-	if known && !d.checked.IsZero() && clock.Since(d.checked) < crashProbeValidity {
+	age := clock.Since(d.checked)
+	sameProcess := d.server.Instance == server.Instance && d.server.Born == server.Born && (server.Instance != "" || age < minRestartTime)
+	if sameProcess && age < crashProbeValidity {
 		return d.crashed, false
 	}
-	again := known && d.crashed
+	known := sameProcess && d.crashed
 	d.server, d.crashed = server, d.refusesConnections(address)
 	d.checked = clock.Now()
-	return d.crashed, d.crashed && !again
+	return d.crashed, d.crashed && !known
 }
 
 // refusesConnections reports whether no process listens at the address.
@@ -104,7 +106,7 @@
 	if t.keepsIdleConn(c.Context(), address) {
 		return err // without a probe, which would cost the server a connection
 	}
-	crashed, first := t.crashes.hasCrashed(server, address)
+	crashed, first := t.crashes.hasCrashed(server, address, thclock.OrSystem(t.Clock))
 	if first && t.OnCrash != nil {
 		t.OnCrash()
 	}
--- a/thproxy/quarantine.go
+++ b/thproxy/quarantine.go
@@ -40,9 +40,9 @@
 	return therror.New(therror.Quarantined, "the request has crashed %d backend servers", crashes)
 }
 
-// recordCrash records whether the backend server of the member has crashed or responded while
-// it ran the request.
-func (c *call) recordCrash(m *thwire.Member, err error) {
+// recordOutcome records whether the backend server of the member has crashed or responded
+// while it ran the request.
+func (c *call) recordOutcome(m *thwire.Member, err error) {
 	switch {
 	case c.Crashes == nil:
 	case err == nil && c.Crashes.Active():
@@ -65,10 +65,7 @@
 func (t *Target) enterSuspect(ctx context.Context, fingerprint string) (leave func(), err error) {
 	t.suspectOnce.Do(func() { t.suspectSlot = make(chan struct{}, 1) })
 	for {
-		var changed <-chan struct{}
-		if t.Crashes != nil {
-			changed = t.Crashes.Changed()
-		}
+		changed := t.Crashes.Changed()
 		switch state, crashes := t.Crashes.State(fingerprint); state {
 		case thcrash.Quarantined:
 			return nil, errQuarantined(crashes)
