Remove expired crash records from the request path

What callers could see: after the first crash of a server, each call cost a fingerprint for as long as the daemon ran, since expired records were only removed from a full table.

Cause: the removal was written for the bound of the table alone. Ruled out: the membership's copy, which removes them each second. Change: the count of records, which the daemon takes each second for its metrics, removes expired ones. Measured: TestQuarantineEndsWithOneTrial failed before (still active).

--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -214,7 +214,7 @@
 	return entries
 }
 
-// Update merges a record of the fleet, and removes expired ones.
+// Update merges a record of the fleet.
 func (t *Tracker) Update(r thwire.CrashRecord) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -233,7 +233,8 @@
 	t.put(r)
 }
 
-// Counts returns the number of suspect and of quarantined requests.
+// Counts returns the number of suspect and of quarantined requests. It removes expired records,
+// so it is to be called from time to time.
 func (t *Tracker) Counts() (suspect, quarantined int) {
 	if !t.Active() {
 		return 0, 0
@@ -241,9 +242,11 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.now()
+	RemoveExpired(t.records, now)
+	t.count.Store(int64(len(t.records)))
 	for _, r := range t.records {
 		switch {
-		case len(r.Crashes) == 0 || !now.Before(Expiry(r)) || t.isExplained(r, now):
+		case len(r.Crashes) == 0 || t.isExplained(r, now):
 		case isQuarantined(r, now):
 			quarantined++
 		default:
--- a/thcrash/tracker_test.go
+++ b/thcrash/tracker_test.go
@@ -145,6 +145,8 @@
 	tracker.crash(2, 10)
 	clock.Advance(suspicionTime)
 	tracker.requireState(t, 2, Unknown)
+	tracker.Counts()
+	assert.Assert(t, !tracker.Active(), "expired records cost each call a fingerprint")
 }
 
 // Guards against a quarantine that an operator can't end, and against one that the store or
