--- a/thdaemon/crashes.go
+++ b/thdaemon/crashes.go
@@ -21,8 +21,9 @@
 	maxWaitingCrashRecords = 16
 	// crashReadDelay is the delay of the read at start, for the fleet to be found.
 	crashReadDelay = 500 * time.Millisecond
-	// minMemoryAge is the age from which on another daemon is taken to hold the records.
-	minMemoryAge = 10 * time.Second
+	// minHolderAge is how long before this daemon another one must have started to hold the
+	// records. Daemons that restart together differ by less.
+	minHolderAge = 10 * time.Second
 )
 
 // crashStore keeps the records of quarantined requests in the store, for a restart of all
@@ -32,7 +33,7 @@
 	waiting chan thwire.CrashRecord // records to store, of requests that were quarantined or released
 }
 
-// offer has a record stored. It drops it when many are waiting.
+// offer has a record stored in the background. It drops the record when many are waiting.
 func (c *crashStore) offer(r thwire.CrashRecord) {
 	select {
 	case c.waiting <- r:
@@ -44,7 +45,7 @@
 // run reads the stored records if needed, and then stores those that are offered until ctx
 // ends.
 func (c *crashStore) run(ctx context.Context) {
-	if c.Settings.Daemon.Bootstrap != "true" && c.wait(ctx, crashReadDelay) && !c.othersRemember() {
+	if c.Settings.Daemon.Bootstrap != "true" && c.wait(ctx, crashReadDelay) && !c.heldByOthers() {
 		c.retry(ctx, "read crash records", c.read)
 	}
 	for {
@@ -62,12 +63,12 @@
 	}
 }
 
-// othersRemember reports whether a live member runs for longer than this daemon, by more than
-// daemons that restart together differ.
-func (c *crashStore) othersRemember() bool {
+// heldByOthers reports whether a live member started so long before this daemon that it holds
+// the records.
+func (c *crashStore) heldByOthers() bool {
 	self := c.node.Self().Incarnation
 	for _, m := range c.node.View().Alive() {
-		if m.Incarnation+uint64(minMemoryAge) < self {
+		if m.Incarnation+uint64(minHolderAge) < self {
 			return true
 		}
 	}
--- a/thmember/crashes.go
+++ b/thmember/crashes.go
@@ -57,6 +57,14 @@
 	return true
 }
 
+// expireCrashRecords removes expired crash records from time to time. The caller holds the
+// mutex.
+func (n *Node) expireCrashRecords(now time.Time) {
+	if len(n.state.crashes) > 0 && n.isDue("crashes", now, crashExpiryInterval) {
+		n.state.removeExpiredCrashes(now)
+	}
+}
+
 // removeExpiredCrashes removes expired crash records.
 func (s *state) removeExpiredCrashes(now time.Time) {
 	for _, r := range thcrash.RemoveExpired(s.crashes, now) {
--- a/thmember/detect.go
+++ b/thmember/detect.go
@@ -33,9 +33,7 @@
 	if n.isDue("forget", now, time.Minute) && n.state.removeExpired(now) {
 		n.publishView()
 	}
-	if len(n.state.crashes) > 0 && n.isDue("crashes", now, crashExpiryInterval) {
-		n.state.removeExpiredCrashes(now)
-	}
+	n.expireCrashRecords(now)
 	if n.state.hasChanges() {
 		n.requestFlush()
 	}
