Send a merged crash record back to the neighbour that it came from

What callers could see: two daemons that saw one crash each of a request within the same 50 ms quarantined it only with the next anti-entropy (one to two seconds later) where no third neighbour passed the news on.

Cause: a merged record counted as received from the neighbour, which lacked the local part. Ruled out: records that are equal to the received one, which are still not sent back. Change: only such records are kept from the neighbour. Found by reading.

--- a/thmember/crashes.go
+++ b/thmember/crashes.go
@@ -38,9 +38,14 @@
 	old, found := s.crashes[r.Request]
 	switch {
 	case found:
-		if r = thcrash.Merge(old, r); thcrash.Equal(r, old) {
+		merged := thcrash.Merge(old, r)
+		if thcrash.Equal(merged, old) {
 			return false
 		}
+		if !thcrash.Equal(merged, r) {
+			from = "" // the neighbour needs the merged record too
+		}
+		r = merged
 		s.checksum.Crashes ^= hashCrashRecord(old)
 	case len(s.crashes) >= thcrash.MaxRecords:
 		removed, kept := thcrash.MakeRoom(s.crashes, r)
--- a/thmember/crashes_test.go
+++ b/thmember/crashes_test.go
@@ -96,3 +96,17 @@
 	a.removeExpiredCrashes(now.Add(10_000 * time.Hour))
 	assert.Equal(t, a.checksum.Crashes, uint64(0))
 }
+
+// Guards against a neighbour that does not get what this daemon knows beyond its record, since
+// the merged record counts as received from it.
+func TestMergedCrashRecordGoesBack(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	s := newState(2)
+	s.putCrashRecord(crashRecord(1, now, 11), "", now)
+	received := crashRecord(1, now, 10)
+	assert.Assert(t, s.putCrashRecord(received, "neighbour", now))
+	assert.Equal(t, s.changed.crashes[received.Request], "")
+	s.clearChanges()
+	assert.Assert(t, s.putCrashRecord(crashRecord(1, now, 10, 11, 12), "neighbour", now))
+	assert.Equal(t, s.changed.crashes[received.Request], "neighbour")
+}
