--- a/thcrash/model_test.go
+++ b/thcrash/model_test.go
@@ -36,7 +36,7 @@
 	trackers []*Tracker
 	fleet    []*modelServer
 	waiting  []*modelCall
-	news     []modelNews
+	flooded  []modelRecord
 	runs     map[int][]time.Time // when deadly requests began to run
 	served   int
 	failed   int
@@ -58,7 +58,7 @@
 	tried    map[*modelServer]bool
 }
 
-type modelNews struct {
+type modelRecord struct {
 	at     time.Time
 	record thwire.CrashRecord
 }
@@ -68,7 +68,9 @@
 	m.runs = map[int][]time.Time{}
 	for range m.daemons {
 		t := &Tracker{Clock: m.clock}
-		t.Publish = func(r thwire.CrashRecord) { m.news = append(m.news, modelNews{m.clock.Now().Add(m.floodDelay), r}) }
+		t.Publish = func(r thwire.CrashRecord) {
+			m.flooded = append(m.flooded, modelRecord{m.clock.Now().Add(m.floodDelay), r})
+		}
 		m.trackers = append(m.trackers, t)
 	}
 	for i := range m.servers {
@@ -77,11 +79,11 @@
 	next, nextCrash := 0, m.clock.Now().Add(m.crashInterval)
 	for m.clock.Since(testTime) < duration {
 		now := m.clock.Now()
-		for len(m.news) > 0 && !now.Before(m.news[0].at) {
+		for len(m.flooded) > 0 && !now.Before(m.flooded[0].at) {
 			for _, t := range m.trackers {
-				t.Update(m.news[0].record)
+				t.Update(m.flooded[0].record)
 			}
-			m.news = m.news[1:]
+			m.flooded = m.flooded[1:]
 		}
 		if m.random.Float64() < m.rate*modelTick.Seconds() {
 			next++
--- a/thcrash/tracker.go
+++ b/thcrash/tracker.go
@@ -23,9 +23,9 @@
 const (
 	// Unknown is a request that is not known to have been in progress at a crash.
 	Unknown State = iota
-	// Acquitted is a request that a backend server has responded to since, or that stood
+	// Cleared is a request that a backend server has responded to since, or that stood
 	// beside a quarantined one at each of its crashes.
-	Acquitted
+	Cleared
 	// Suspect is a request that may have crashed a backend server. A server runs one suspect
 	// request at a time.
 	Suspect
@@ -73,7 +73,7 @@
 	case !found || !now.Before(Expiry(r)):
 		return Unknown, 0
 	case len(r.Crashes) == 0 || t.isExplained(r, now):
-		return Acquitted, 0
+		return Cleared, 0
 	case isQuarantined(r, now):
 		return Quarantined, len(r.Crashes)
 	}
--- a/thcrash/tracker_test.go
+++ b/thcrash/tracker_test.go
@@ -56,14 +56,14 @@
 
 // Guards against a request that is quarantined although servers respond to it, as one that
 // stood beside crashes of other causes, also where news of the crashes arrives late.
-func TestResponseAcquits(t *testing.T) {
+func TestResponseClears(t *testing.T) {
 	tracker, _ := newTestTracker()
 	var published []thwire.CrashRecord
 	tracker.Publish = func(r thwire.CrashRecord) { published = append(published, r) }
 	tracker.crash(1, 10)
 	tracker.RecordResponse(fingerprint(1))
 	tracker.RecordResponse(fingerprint(2))
-	tracker.requireState(t, 1, Acquitted)
+	tracker.requireState(t, 1, Cleared)
 	tracker.crash(1, 11)
 	tracker.requireState(t, 1, Suspect)
 	tracker.Update(published[0]) // the crash before the response
@@ -71,7 +71,7 @@
 	tracker.crash(1, 12)
 	tracker.requireState(t, 1, Quarantined)
 	tracker.RecordResponse(fingerprint(1)) // of a call that was in progress elsewhere
-	tracker.requireState(t, 1, Acquitted)
+	tracker.requireState(t, 1, Cleared)
 	assert.Equal(t, len(published), 5)
 }
 
@@ -84,9 +84,9 @@
 			tracker.RecordCrash(Request{Fingerprint: fingerprint(request)}, p, i > 0)
 		}
 	}
-	tracker.requireState(t, 1, Acquitted)
+	tracker.requireState(t, 1, Cleared)
 	tracker.requireState(t, 2, Quarantined)
-	tracker.requireState(t, 3, Acquitted)
+	tracker.requireState(t, 3, Cleared)
 	tracker.requireState(t, 4, Quarantined)
 	tracker.requireState(t, 5, Suspect)
 	changed := tracker.Changed()
@@ -108,7 +108,7 @@
 
 // Guards against a popular request that is quarantined because several servers crash at the
 // same moment, each while it runs a copy of the request.
-func TestCrashesBeforeTheNewsOnlySuspect(t *testing.T) {
+func TestUnknownCrashesOnlySuspect(t *testing.T) {
 	a, _ := newTestTracker()
 	b, _ := newTestTracker()
 	var ofA, ofB thwire.CrashRecord
@@ -166,8 +166,8 @@
 	assert.Assert(t, therror.Is(tracker.Release("xyz"), therror.Bad))
 	assert.Assert(t, therror.Is(tracker.Release(hex.EncodeToString([]byte(fingerprint(2)))), therror.Absent))
 	assert.NilError(t, tracker.Release(entries[0].Fingerprint))
-	tracker.requireState(t, 1, Acquitted)
-	other.requireState(t, 1, Acquitted)
+	tracker.requireState(t, 1, Cleared)
+	other.requireState(t, 1, Cleared)
 	assert.Equal(t, len(tracker.Quarantine()), 0)
 	assert.Equal(t, len(stored), 2)
 	assert.Assert(t, stored[1].Round > stored[0].Round)
--- a/thproxy/quarantine.go
+++ b/thproxy/quarantine.go
@@ -31,7 +31,7 @@
 		c.open.Suspect = c.requestFingerprint()
 	case thcrash.Quarantined:
 		return errQuarantined(crashes)
-	case thcrash.Unknown, thcrash.Acquitted:
+	case thcrash.Unknown, thcrash.Cleared:
 	}
 	return nil
 }
@@ -60,7 +60,7 @@
 }
 
 // enterSuspect waits until no other suspect request runs at the backend server, so that a
-// crash tells which one caused it. It does not wait for a request that is acquitted meanwhile.
+// crash tells which one caused it. It does not wait for a request that is cleared meanwhile.
 // The error is of kind Quarantined, Full or Cancelled.
 func (t *Target) enterSuspect(ctx context.Context, fingerprint string) (leave func(), err error) {
 	t.suspectOnce.Do(func() { t.suspectSlot = make(chan struct{}, 1) })
@@ -69,7 +69,7 @@
 		switch state, crashes := t.Crashes.State(fingerprint); state {
 		case thcrash.Quarantined:
 			return nil, errQuarantined(crashes)
-		case thcrash.Acquitted:
+		case thcrash.Cleared:
 			return func() {}, nil
 		case thcrash.Unknown, thcrash.Suspect: // its ingress may know more than this daemon
 		}
--- a/thproxy/quarantine_test.go
+++ b/thproxy/quarantine_test.go
@@ -144,7 +144,7 @@
 	assert.Equal(t, quarantined, 1)
 }
 
-// Guards against several suspect requests at one server, of which a crash would convict all.
+// Guards against several suspect requests at one server, all of which a crash would quarantine.
 func TestSuspectRequestsRunOneAtATime(t *testing.T) {
 	const suspects = 4
 	m := newCrashMesh(t, thconfig.Route{Retry: 100}, 1, 30*time.Millisecond)
@@ -162,7 +162,7 @@
 	calls.Wait()
 	assert.Equal(t, m.maximum.Load(), int32(1))
 	suspect, quarantined := m.ingress.Crashes.Counts()
-	assert.Equal(t, suspect+quarantined, 0, "the responses acquit the requests")
+	assert.Equal(t, suspect+quarantined, 0, "the responses clear the requests")
 }
 
 // Guards against a request that is quarantined because connections break under it while its
@@ -181,13 +181,13 @@
 }
 
 // Guards against a suspect request that runs after all, because it waited at a server when the
-// fleet quarantined it, and against one that goes on waiting once it is acquitted.
-func TestWaitingSuspectFollowsNews(t *testing.T) {
+// fleet quarantined it, and against one that goes on waiting once it is cleared.
+func TestWaitingSuspectFollowsItsState(t *testing.T) {
 	for _, c := range []struct {
 		name       string
 		quarantine bool
 		status     int
-	}{{"quarantined", true, http.StatusBadGateway}, {"acquitted", false, http.StatusOK}} {
+	}{{"quarantined", true, http.StatusBadGateway}, {"cleared", false, http.StatusOK}} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newCrashMesh(t, thconfig.Route{Retry: 100}, 1, 400*time.Millisecond)
 			tracker := m.ingress.Crashes
