review: case 3, a version that was rolled back gets traffic again

Cause: the next order replaces that of the bad version, and its upstreams then count as of the old version until they drain. Change: a script; nothing is fixed.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Plays the case; see claim.txt. With TROUBLE=0 the new version is good. Exits with 1 if the
+# rule was broken, 0 if it held, and 2 if the case couldn't run.
+set -u
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/turmerichaven ] || [ ! -x review/bin/stage ]; then
+  echo "build first: the command of deploy/system.toml, then review/build.sh" >&2
+  exit 2
+fi
+timeout 110 review/bin/stage next-order review/3/record.txt
+code=$?
+if [ "$code" -ne 0 ] && [ "$code" -ne 1 ]; then
+  exit 2
+fi
+exit "$code"
