review: scripts end everything when they are ended themselves

Cause: the shell of a script that got SIGTERM left its stage, with nine daemons, until the scenario ended. Found by trying it.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,10 @@
   echo "build first: the command of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
-timeout 110 review/bin/stage next-order review/3/record.txt
+timeout -k 5 110 review/bin/stage next-order review/3/record.txt &
+stage=$!
+trap 'kill "$stage" 2>/dev/null; wait "$stage"; exit 2' INT TERM HUP
+wait "$stage"
 code=$?
 if [ "$code" -ne 0 ] && [ "$code" -ne 1 ]; then
   exit 2
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -72,6 +72,7 @@
 	d.store.Put("op", "", "config", configuration(1))
 	l, err := listen("127.0.0.1:0")
 	if err != nil {
+		d.close()
 		return nil, err
 	}
 	d.server = &http.Server{Handler: d.store, ReadHeaderTimeout: 10 * time.Second}
@@ -113,7 +114,9 @@
 	for _, m := range d.machines {
 		m.end()
 	}
-	_ = d.server.Close()
+	if d.server != nil {
+		_ = d.server.Close()
+	}
 	_ = os.RemoveAll(d.dir) //nolint:gosec // of os.MkdirTemp
 }
 
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,13 @@
 		return exitError
 	}
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(exitError)
+	}()
 	if err := d.awaitReady(20 * time.Second); err != nil {
 		fmt.Fprintln(os.Stderr, "stage:", err)
 		return exitError
