review: stand-ins closer to PROTOCOL.md, scripts end all in every case

Cause: a leaving backend server of the stage sent no `Connection: close`, answered health checks as requests and stated no load; one that started during the traffic was not cold. A script whose shell was killed left its processes for up to 115 s. Ruled out: that the cases rest on the differences. SIGTERM, SIGHUP, SIGKILL to each script and SIGKILL to the stage or `timeout`: no process left 2 s later.

--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -5,17 +5,22 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 const (
 	slots       = 18
+	coldStart   = 3 * time.Second // cold_start_s
+	healthPath  = "/health"
 	stateReady  = "ready"
 	stateDrains = "draining"
 
@@ -39,6 +44,7 @@
 	server  *http.Server
 	once    sync.Once
 	done    chan struct{}
+	warmAt  time.Time // end of the cold start; zero for a server that started before the traffic
 	active  atomic.Int64
 
 	mutex        sync.Mutex
@@ -89,6 +95,23 @@
 	return b.sendHeartbeat()
 }
 
+// leave deregisters the server and ends its process. The daemon beside it gets SIGTERM then.
+func (b *backend) leave() {
+	status, err := b.post("/api/Instances.Deregister/"+b.id, fmt.Appendf(nil, `{"born":%d}`, b.born))
+	b.record.write("deregistered", map[string]any{fieldServer: b.id, fieldStatus: status, "failed": err != nil})
+	b.exit()
+	_ = b.daemon.Process.Signal(syscall.SIGTERM)
+}
+
+// coldTime returns how much longer the server is cold.
+func (b *backend) coldTime() time.Duration { return max(0, time.Until(b.warmAt)) }
+
+func (b *backend) isDraining() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.state == stateDrains
+}
+
 // sendHeartbeat sends the next heartbeat.
 func (b *backend) sendHeartbeat() error {
 	b.mutex.Lock()
@@ -98,7 +121,7 @@
 	body, err := json.Marshal(map[string]any{
 		"address": b.at(portServer), "born": b.born,
 		"info":      map[string]any{fieldService: b.service, fieldVersion: b.version, "zone": b.zone, "slots": slots},
-		fieldStatus: map[string]any{fieldState: state, fieldSequence: sequence, "cold_remaining_s": 0},
+		fieldStatus: map[string]any{fieldState: state, fieldSequence: sequence, "cold_remaining_s": b.coldTime().Seconds()},
 	})
 	if err != nil {
 		return err
@@ -148,10 +171,23 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Id", b.id)
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", min(b.active.Load(), slots), slots))
+	if b.isDraining() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.URL.Path == healthPath {
+		b.answerHealth(w)
+		return
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if id == "" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	b.mutex.Lock()
 	b.arrivals++
 	b.sentAt = append(b.sentAt, b.sendTime(id))
@@ -170,8 +206,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	work := 50 * time.Millisecond
+	if b.coldTime() > 0 {
+		work *= 2 // cold_x
+	}
 	select {
-	case <-time.After(50 * time.Millisecond):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
@@ -186,6 +226,14 @@
 	_, _ = w.Write(append([]byte(id+" "), body...)) //nolint:gosec // read by clients of this program only
 }
 
+// answerHealth answers a health check, which isn't a request.
+func (b *backend) answerHealth(w http.ResponseWriter) {
+	w.Header().Set("X-Cold-Remaining-Ms", strconv.FormatInt(b.coldTime().Milliseconds(), 10))
+	if b.isDraining() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // counts returns how many requests have arrived, and how many of them late.
 func (b *backend) counts() (arrivals, late int) {
 	b.mutex.Lock()
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -97,6 +97,9 @@
 	m.backend = &backend{
 		machine: m, id: "i-" + m.name, version: version, born: time.Now().UnixMilli(), done: make(chan struct{}),
 	}
+	if n > machineCount { // it starts during the traffic
+		m.backend.warmAt = time.Now().Add(coldStart)
+	}
 	if err := m.start(d.address); err != nil {
 		return nil, err
 	}
@@ -149,7 +152,7 @@
 	clusters := make([]any, 0, len(services))
 	for _, s := range services {
 		clusters = append(clusters, map[string]any{
-			"name": s, "health_path": "/health", "max_connections": 110, "cold_start_s": 3.0, "cold_per_s": 18.0,
+			"name": s, "health_path": healthPath, "max_connections": 110, "cold_start_s": 3.0, "cold_per_s": 18.0,
 		})
 	}
 	body, _ := json.Marshal(map[string]any{
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,14 @@
 	os.Exit(play(scenarios[os.Args[1]], os.Args[2]))
 }
 
+// awaitEndOf returns when the process with the id has ended, as a script does that was killed.
+func awaitEndOf(id string) {
+	pid, err := strconv.Atoi(id)
+	for err != nil || syscall.Kill(pid, 0) == nil {
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 // play runs a scenario and ends all processes that it has started.
 func play(s scenario, file string) int {
 	d, err := newDeployment(filepath.Clean(file))
@@ -50,6 +59,11 @@
 		d.close()
 		os.Exit(exitError)
 	}()
+	go func() {
+		awaitEndOf(os.Getenv("SCRIPT_PID"))
+		d.close()
+		os.Exit(exitError)
+	}()
 	if err := d.awaitReady(20 * time.Second); err != nil {
 		fmt.Fprintln(os.Stderr, "stage:", err)
 		return exitError
--- a/review/stage/nextorder.go
+++ b/review/stage/nextorder.go
@@ -61,7 +61,7 @@
 		}
 		time.Sleep(drainTime + time.Second)
 		for _, m := range second {
-			m.backend.exit()
+			m.backend.leave()
 		}
 	}
 	if left := time.Until(start.Add(rolloutTime)); left > 0 {
--- a/review/stage/oddheartbeat.go
+++ b/review/stage/oddheartbeat.go
@@ -42,9 +42,7 @@
 		return false, fmt.Errorf("the drain is not acknowledged: %w", err)
 	}
 	time.Sleep(drainTime + beforeExit)
-	status, err := server.post("/api/Instances.Deregister/"+server.id, fmt.Appendf(nil, `{"born":%d}`, server.born))
-	d.record.write("deregistered", map[string]any{fieldServer: server.id, fieldStatus: status, "failed": err != nil})
-	server.exit()
+	server.leave()
 	time.Sleep(2 * time.Second)
 	arrivals, late := server.counts()
 	d.record.write("result", map[string]any{fieldServer: server.id, "arrivals": arrivals, "later_than_drain_s": late})
