Replace requests for changes that the store never answers

The store turned slow and then silent for 4.5 s; three changes that it accepted later were in effect nowhere for up to 17 s, 510 to 532 requests ran as only an older configuration allows.

Cause: a request that waits for a change was the only sign of life between a reader and the store, and it could be silent for 27 s. A store that fails for a moment takes such requests and never responds, while their connections stay open and answer keep-alive probes. All readers send them at the same moment after a change, so one gap took all of them.

Ruled out: the platform of kind tables polls each 250 ms with a timeout (read).

Change: two of the four readers let the store hold a request for half of the time for changes, and count one without a response as failed after 0.375 of it; a reader abandons its request when another daemon knows of a newer version or when it becomes one of the two. The backoff counts from the start of the failed request.

Why it works: whichever requests are lost, one of the two readers has replaced its own within 1.75 s (2 s allowed, and 3 s after the fault).

--- a/thstandin/rows.go
+++ b/thstandin/rows.go
@@ -39,6 +39,7 @@
 type RowStoreFaults struct {
 	Unavailable  bool          // every call gets status 503
 	Hang         bool          // no call gets a response
+	HangFeeds    bool          // no call of the feed that begins meanwhile gets a response
 	LoseResponse bool          // transactions are committed, but their connections are closed without a response
 	CommitDelay  time.Duration // transactions get no response and are committed after this time
 	Latency      time.Duration // added to each call
@@ -129,7 +130,7 @@
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
-	if f.Hang {
+	if f.Hang || f.HangFeeds && r.URL.Path == "/api/rows-feed" {
 		<-r.Context().Done()
 		return
 	}
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,17 +20,15 @@
 type Source interface {
 	// Next returns the current orders. The first call, and the first one after
 	// Reset, returns them immediately; later calls wait for a change and return nil
-	// if there is none within wait.
-	Next(ctx context.Context, wait time.Duration) (*thconfig.DesiredState, error)
+	// if there is none within wait. A request to the store fails if it has no response
+	// within timeout, or within wait and timeout if it waits for a change.
+	Next(ctx context.Context, wait, timeout time.Duration) (*thconfig.DesiredState, error)
 	// Reset makes the next call of Next read all orders, not only changes.
 	Reset()
 }
 
 // Intervals and limits of a Follower.
 const (
-	// longPollTimeout is how long the source may hold a request for changes open.
-	// Keep-alive probes detect a connection that is broken meanwhile.
-	longPollTimeout   = 25 * time.Second
 	initialRetryDelay = 50 * time.Millisecond // after the first failure; doubles up to maxRetryDelay
 	maxRetryDelay     = time.Second           // a change must be in effect within two seconds
 	compareInterval   = 250 * time.Millisecond
@@ -82,6 +79,7 @@
 	readOnce          atomic.Bool   // read the source once even if this daemon is not a reader
 	wakeReader        chan struct{} // wakes readSource when this daemon is a reader or has to read once
 	newerVersion      chan struct{} // ends awaitMoreChanges when another daemon holds a newer version
+	poll              longPoll      // the request to the source that is in progress
 	firstContactDue   time.Time     // until then a daemon that has started may still find the others
 	contactObserved   time.Time     // of the last observeContact
 	watchers          []func(*Snapshot)
@@ -214,15 +212,22 @@
 	for ctx.Err() == nil {
 		if f.awaitReader(ctx) {
 			// The changes missed meanwhile may be longer than the current orders.
-			f.Source.Reset()
+			f.resetSource()
 			f.Log.Info("reading the configuration source", "version", thconfig.VersionText(f.version()), "duty", f.IsReader())
 		}
 		pause := f.Clock.Since(responded)
-		o, err := f.Source.Next(ctx, longPollTimeout)
+		requested := f.Clock.Now()
+		wait := f.pollWait()
+		pollCtx := f.poll.begin(ctx, requested, wait)
+		o, err := f.Source.Next(pollCtx, wait, f.responseTimeout(failures))
 		responded = f.Clock.Now()
-		switch {
+		switch lost := f.poll.end(err == nil); {
 		case ctx.Err() != nil:
 			return
+		case err != nil && lost != "":
+			f.Log.Warn("request for changes abandoned", "version", thconfig.VersionText(f.version()), "after", responded.Sub(requested), "reason", lost)
+			f.resetSource()
+			continue
 		case err != nil:
 			if lostSince.IsZero() {
 				lostSince = f.Clock.Now()
@@ -236,8 +241,8 @@
 			if failures >= maxSourceFailures {
 				f.setDisconnected(true)
 			}
-			f.Source.Reset()
-			f.sleep(ctx, backoff/2+rand.N(backoff))
+			f.resetSource()
+			f.sleep(ctx, retryDelay(backoff, responded.Sub(requested)))
 			backoff = min(2*backoff, maxRetryDelay)
 			continue
 		case !lostSince.IsZero():
@@ -259,9 +264,9 @@
 				lastSeen = o.Version
 				// More changes often follow, and one full read then returns them all. It also
 				// detects that the source has become unavailable, which a long poll of up to
-				// longPollTimeout does not.
+				// longPollWait does not.
 				f.awaitMoreChanges(ctx)
-				f.Source.Reset()
+				f.resetSource()
 			}
 		}
 	}
@@ -441,6 +446,7 @@
 			signal(f.wakeReader)
 		}
 		f.compareOnce()
+		f.checkPoll()
 	}
 }
 
--- a/thsync/follow_test.go
+++ b/thsync/follow_test.go
@@ -28,7 +28,7 @@
 	return &fakeSource{orders: make(chan *thconfig.DesiredState), errors: make(chan error)}
 }
 
-func (s *fakeSource) Next(ctx context.Context, _ time.Duration) (*thconfig.DesiredState, error) {
+func (s *fakeSource) Next(ctx context.Context, _, _ time.Duration) (*thconfig.DesiredState, error) {
 	s.queries.Add(1)
 	select {
 	case o := <-s.orders:
--- a/thsync/reader.go
+++ b/thsync/reader.go
@@ -16,6 +16,9 @@
 	// maxSourceCandidates limits the daemons that try to read in turn while no daemon
 	// reaches the source.
 	maxSourceCandidates = 12
+	// confirmingReaders is the number of readers with short long polls. One may be lost, and
+	// is replaced only when the failure detector has found that.
+	confirmingReaders = 2
 )
 
 // role is this daemon's role in reading the source, computed from a membership view.
@@ -23,6 +26,7 @@
 	view        *thmember.View
 	readers     []thwire.Member
 	reader      bool // follows the source
+	confirms    bool // its long polls are short, so that a lost one is noticed in time
 	zoneFetcher bool // first member of a zone without a reader: fetches from other zones without delay
 	// fetchesForZone is set for the first two members of a zone without a reader.
 	fetchesForZone bool
@@ -33,13 +37,14 @@
 
 // newRole computes the role of a daemon. Without a view it is a reader.
 func newRole(v *thmember.View, self *thwire.Member) *role {
-	r := &role{view: v, reader: true}
+	r := &role{view: v, reader: true, confirms: true}
 	if v == nil {
 		return r
 	}
 	zones := rankByZone(v)
 	r.readers = chooseReaders(zones)
 	r.reader = r.isReader(self.Name)
+	r.confirms = slices.ContainsFunc(r.readers[:min(confirmingReaders, len(r.readers))], func(m thwire.Member) bool { return m.Name == self.Name })
 	i := slices.IndexFunc(zones, func(z []thwire.Member) bool { return z[0].Zone == self.Zone })
 	if i < 0 {
 		return r
