Exclude versions that were not completed from later rollouts

Cause: the verdict lived as long as its order. The order is one row for each service, the pool of the service excluded the target of that row only, and the servers of the bad version, which still announce that they are ready, counted as of the old version. The same holds for an order that is replaced while it runs.

Change: the pool of a service excludes each version that was ordered and not completed. The status row carries the list from order to order and is written as running when a move starts; daemons keep the list in their tables too. The version of the latest completed rollout is kept beside it and never excluded, so that a missed end can't take the version in service out of use.

Why it works: the fact has the lifetime of the version now. It is in the store before a later order can hide it, and in the tables of all daemons.

Two calls of the store more for each rollout. Control protocol 6.

--- a/thconfig/desired.go
+++ b/thconfig/desired.go
@@ -17,7 +17,9 @@
 	Config    Config
 	ConfigErr error // error of reading Config; nil if it was read
 	Rollouts  []Rollout
-	OutZones  []string // availability zones that are out of service
+	Excluded  []ServiceVersion // get traffic by a rollout of their own only; the latest last
+	Current   []ServiceVersion // that completed rollouts have brought into service; never excluded
+	OutZones  []string         // availability zones that are out of service
 }
 
 // Config is a complete configuration as operators write it.
@@ -36,6 +38,10 @@
 	Span         time.Duration // time from the request to its deadline
 	State        string        // MoveRunning, MoveDone or MoveReverted
 	Move         string        // name of the move that the rollout continues; empty for a new one
+	// Excluded and Current are those of the service's pool. They are set in rollouts whose
+	// state is to be stored.
+	Excluded []string
+	Current  string
 }
 
 // servicePoolFloor is the Floor, in percent, of the pools that represent services.
@@ -57,6 +63,11 @@
 	for _, r := range d.Rollouts {
 		t.addRollout(r)
 	}
+	for i := range t.Pools {
+		if p := &t.Pools[i]; p.Name == p.Service {
+			p.Except, p.Current = d.excluded(p.Service), d.current(p.Service)
+		}
+	}
 	t.sortByName()
 	return t
 }
@@ -76,17 +87,15 @@
 	case MoveDone:
 		t.Pools[i].Version = r.Target
 	case MoveRunning:
-		t.Pools[i].Except = r.Target
 		t.Pools = append(t.Pools, Pool{Name: to, Service: r.Service, Version: r.Target, Floor: servicePoolFloor})
-	default:
-		t.Pools[i].Except = r.Target
 	}
 }
 
 // ContinueRollouts makes rollouts continue their moves in the tables in effect. The end of
 // a rollout is final, also where a store that has come back from a copy has lost it. The
 // orders that such a store has, or that operators write to it again, are those from before,
-// whatever their version is.
+// whatever their version is. Versions that the tables exclude stay excluded until a rollout
+// of them is done.
 func (d *DesiredState) ContinueRollouts(t *Tables) {
 	restored := Generation(d.Version) > Generation(t.Version)
 	for i := range d.Rollouts {
@@ -102,6 +111,19 @@
 			}
 		}
 	}
+	var excluded []ServiceVersion
+	for _, p := range t.Pools {
+		if p.Name != p.Service {
+			continue
+		}
+		for _, v := range p.Except {
+			excluded = append(excluded, ServiceVersion{p.Service, v})
+		}
+		if c := p.InService(); c != "" {
+			d.Current = append(d.Current, ServiceVersion{p.Service, c})
+		}
+	}
+	d.Excluded = append(excluded, d.Excluded...) // those that the store names are the latest
 }
 
 // Config returns the configuration that DesiredState.Tables has converted; its Revision is
--- a/thconfig/digest.go
+++ b/thconfig/digest.go
@@ -57,7 +57,7 @@
 func Diff(old, next Tables) []Edit {
 	var sets, removes []Edit
 	for _, p := range next.Pools {
-		if o, found := old.Pool(p.Name); !found || o != p {
+		if o, found := old.Pool(p.Name); !found || !reflect.DeepEqual(o, p) {
 			sets = append(sets, SetPool{p})
 		}
 	}
--- a/thconfig/schema.go
+++ b/thconfig/schema.go
@@ -2,7 +2,10 @@
 // and moves), the edits that change it, and its validation.
 package thconfig
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 //go:generate go run github.com/tinylib/msgp@v1.6.5 -file schema.go -o schema_gen.go -tests=false -io=false
 
@@ -70,9 +73,13 @@
 	Version string `msg:"version"`
 	Floor   int    `msg:"floor"` // minimum percentage of servers that outlier ejection leaves in use
 
-	// Except excludes one version from a pool without Version, which otherwise
-	// contains the backend servers of all versions. Empty excludes none.
-	Except string `msg:"except,omitempty"`
+	// Except lists the versions that a pool without Version excludes, sorted. Such a pool
+	// otherwise contains the backend servers of all versions.
+	Except []string `msg:"except,omitempty"`
+
+	// Current is the version that the latest completed rollout has brought into service,
+	// empty if none is known. It is not in Except.
+	Current string `msg:"current,omitempty"`
 }
 
 // Zone is an availability zone that an operator has taken out of service at least once.
@@ -105,7 +112,7 @@
 
 // Matches reports whether backend servers of a service and version belong to the pool.
 func (p *Pool) Matches(service, version string) bool {
-	return p.Service == service && (p.Version == version || p.Version == "" && (p.Except == "" || p.Except != version))
+	return p.Service == service && (p.Version == version || p.Version == "" && !slices.Contains(p.Except, version))
 }
 
 // Change is a committed transaction that turns the tables at version Base into
--- a/thconfig/schema_gen.go
+++ b/thconfig/schema_gen.go
@@ -667,13 +667,17 @@
 func (z *Pool) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
-	if z.Except == "" {
+	if z.Except == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Current == "" {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -694,7 +698,15 @@
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "except"
 			o = append(o, 0xa6, 0x65, 0x78, 0x63, 0x65, 0x70, 0x74)
-			o = msgp.AppendString(o, z.Except)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Except)))
+			for za0001 := range z.Except {
+				o = msgp.AppendString(o, z.Except[za0001])
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "current"
+			o = append(o, 0xa7, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x74)
+			o = msgp.AppendString(o, z.Current)
 		}
 	}
 	return
@@ -747,11 +759,34 @@
 				return
 			}
 		case "except":
-			z.Except, bts, err = msgp.ReadStringBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Except")
 				return
 			}
+			if zb0002 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Except) >= int(zb0002) {
+				z.Except = (z.Except)[:zb0002]
+			} else {
+				z.Except = make([]string, zb0002)
+			}
+			for za0001 := range z.Except {
+				z.Except[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Except", za0001)
+					return
+				}
+			}
+		case "current":
+			z.Current, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Current")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -766,7 +801,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pool) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 6 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Except)
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 8 + msgp.StringPrefixSize + len(z.Service) + 8 + msgp.StringPrefixSize + len(z.Version) + 6 + msgp.IntSize + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Except {
+		s += msgp.StringPrefixSize + len(z.Except[za0001])
+	}
+	s += 8 + msgp.StringPrefixSize + len(z.Current)
 	return
 }
 
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -30,13 +30,14 @@
 	}
 	scheduler := &thadmit.Scheduler{Clock: d.Clock}
 	departures := &departureRecorder{Daemon: d, registry: registry}
+	reporter := rolloutReporter{d.platform.rows, follower}
 	restored := &restoredStore{
-		Daemon: d, departures: departures, ends: rolloutReporter{d.platform.rows}, stopped: make(chan struct{}),
+		Daemon: d, departures: departures, ends: reporter, stopped: make(chan struct{}),
 	}
 	// The backend server sends heartbeats by itself and needs no monitor.
 	d.replica, d.gate, d.background = follower, schedulerGate{scheduler}, restored
 	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat), rowplatform.ReadinessHandler(d.notReadyReasons)
-	d.mover.EndCommitter, d.mover.IsReader = rolloutReporter{d.platform.rows}, follower.IsReader
+	d.mover.EndCommitter, d.mover.StartCommitter, d.mover.IsReader = reporter, reporter, follower.IsReader
 	d.target.Headers, d.transport.Headers = rowplatform.Headers(), rowplatform.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
 		e := registry.Current()
@@ -117,15 +118,42 @@
 	return a, nil
 }
 
-// rolloutReporter writes the final state of moves to the platform's store.
-type rolloutReporter struct{ store *rowplatform.Store }
+// rolloutReporter writes the states of moves to the platform's store.
+type rolloutReporter struct {
+	store   *rowplatform.Store
+	replica configReplica
+}
 
 // CommitEnd reports the final state of a rollout and returns the one that is stored. The
 // error is of kind Internal for a move that does not belong to a rollout.
 func (r rolloutReporter) CommitEnd(ctx context.Context, move thconfig.Move, state, _ string) (string, error) {
+	rollout, err := r.rollout(move, state)
+	if err != nil {
+		return "", err
+	}
+	return r.store.ReportRollout(ctx, rollout)
+}
+
+// CommitStart reports that a rollout runs. Daemons that start after a later order then know
+// that its version was not completed.
+func (r rolloutReporter) CommitStart(ctx context.Context, move thconfig.Move) error {
+	rollout, err := r.rollout(move, thconfig.MoveRunning)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.ReportRollout(ctx, rollout)
+	return err
+}
+
+// rollout returns the rollout of a move with the versions that its service excludes here.
+func (r rolloutReporter) rollout(move thconfig.Move, state string) (thconfig.Rollout, error) {
 	rollout, ok := thconfig.RolloutFromMove(move, state)
 	if !ok {
-		return "", therror.New(therror.Internal, "move %q is not a rollout", move.Name)
+		return thconfig.Rollout{}, therror.New(therror.Internal, "move %q is not a rollout", move.Name)
 	}
-	return r.store.ReportRollout(ctx, rollout)
+	if s := r.replica.Current(); s != nil {
+		p, _ := s.Tables.Pool(rollout.Service)
+		rollout.Excluded, rollout.Current = p.Except, p.Current
+	}
+	return rollout, nil
 }
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -144,6 +145,7 @@
 		m.finish(ctx, t, now, t.commitState, t.commitReason)
 		return
 	}
+	m.commitStart(ctx, t, now)
 	if !t.bad.Load() {
 		counts := m.judgeFleet(v, t, now)
 		m.logEvidence(t, counts, now)
@@ -287,6 +289,32 @@
 	return now.After(t.schedule.deadline.Add(-completionReserve))
 }
 
+// commitStart commits in a goroutine that a move runs; later ticks repeat it until it
+// succeeds or the order has been replaced.
+func (m *Mover) commitStart(ctx context.Context, t *track, now time.Time) {
+	if m.StartCommitter == nil || t.startCommitted || now.Before(t.nextStart) {
+		return
+	}
+	t.nextStart = now.Add(startCommitInterval)
+	move := t.move
+	m.work.Add(1)
+	go func() {
+		defer m.work.Done()
+		c, cancel := context.WithTimeout(ctx, startCommitInterval)
+		defer cancel()
+		err := m.StartCommitter.CommitStart(c, move)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		switch {
+		case err == nil || therror.Is(err, therror.Conflict):
+			t.startCommitted = t.move.Order == move.Order
+			m.Log.Info("start of move committed", "move", move.Name, "replaced", err != nil)
+		default:
+			m.Log.Warn("start of move not committed", "move", move.Name, "error", err, "interval", startCommitInterval)
+		}
+	}()
+}
+
 // finish commits the end of a move in a goroutine; later ticks repeat it until it
 // succeeds. The commit is conditional on the move's state, so that a second or delayed
 // attempt or coordinator changes nothing. The committed end is flooded to all daemons.
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -37,6 +37,12 @@
 	CommitEnd(ctx context.Context, move thconfig.Move, state, reason string) (end string, err error)
 }
 
+// StartCommitter commits that a move runs, for daemons that start when its order has been
+// replaced. The error is of kind Conflict if the order has been replaced.
+type StartCommitter interface {
+	CommitStart(ctx context.Context, move thconfig.Move) error
+}
+
 const (
 	tickInterval       = 250 * time.Millisecond // interval of the Mover's loop
 	longestWindowTicks = 8                      // ticks between reports of the longest window
@@ -53,6 +59,9 @@
 	commitInterval = time.Second
 	commitTimeout  = 5 * time.Second // of one attempt
 
+	// startCommitInterval is the time between attempts to commit the start of a move, and the
+	// timeout of one.
+	startCommitInterval = 2 * time.Second
 	evidenceLogInterval = time.Second
 
 	// completionReserve is the time before the deadline that is left for committing the
@@ -63,9 +72,10 @@
 // Mover runs the moves on one daemon. Set the exported fields before Start; nil is
 // valid for Clock and Log.
 type Mover struct {
-	Membership   Membership
-	EndCommitter EndCommitter
-	Exposure     ExposureLimit
+	Membership     Membership
+	EndCommitter   EndCommitter
+	StartCommitter StartCommitter // nil if the order of a move is kept until its end
+	Exposure       ExposureLimit
 	// IsReader reports whether this daemon reads orders from where operators write them,
 	// and so learns of moves before the others; nil means no.
 	IsReader func() bool
@@ -167,7 +177,9 @@
 		if t == nil {
 			t = newTrack(move, now)
 		}
-		t.move.Order = move.Order // a store that has come back from a copy gives it another version
+		if t.move.Order != move.Order { // a store that has come back from a copy gives it another version
+			t.move.Order, t.startCommitted = move.Order, false
+		}
 		next.byRoute[move.Key()] = t
 		if move.Route == "" {
 			next.byPool[move.From], next.byPool[move.To] = t, t
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -52,6 +52,8 @@
 	commitState    string    // of these attempts
 	commitReason   string
 	nextCommit     time.Time // earliest time of the next attempt
+	startCommitted bool      // used by the coordinator: the start is committed, or the order has been replaced
+	nextStart      time.Time // earliest time of the next attempt to commit the start
 }
 
 // moveStep is the step of a move on this daemon.
--- a/thproxy/targetpool_test.go
+++ b/thproxy/targetpool_test.go
@@ -23,7 +23,7 @@
 	}
 	version := uint64(1)
 	target.Pool = func(string) (*thconfig.Pool, uint64, bool) {
-		return &thconfig.Pool{Service: "page", Except: "v2"}, version, true
+		return &thconfig.Pool{Service: "page", Except: []string{"v2"}}, version, true
 	}
 	var ingressVersion uint64
 	_, match, _ := m.ingress.Router()
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -17,7 +17,7 @@
 
 // Protocol is the protocol version; connections of peers with another version are
 // rejected.
-const Protocol = 5
+const Protocol = 6
 
 // The connection kinds of a Hello, besides KindDirect.
 const (
