Keep the traffic of a version in service that is ordered again

What callers would see: an order of the version that all backend servers have left the old pool empty, so nearly all requests were rejected until the move had raised its share.

Cause: a rollout excludes its target from the pool of the service, whoever else is in it.

Change: if only the target has backend servers when a move is ordered, it is the version in service: it keeps all traffic, its start is committed with it as the version in service, so that it is never excluded, and its rollout is completed at the deadline. That is decided when the order arrives only: later, or on a daemon that starts, missing servers may not have been found yet.

Evidence: TestVersionInServiceKeepsItsTraffic and TestNewVersionAloneGetsItsShare, which are of the model of moves. The first can't be built on the code before; there the share is that of the first step, 0.01 (read).

Ruled out: giving the new version all traffic whenever the old one has no server, as a bad version would get it when the others are lost.

--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -135,12 +135,15 @@
 }
 
 // CommitStart reports that a rollout runs. Daemons that start after a later order then know
-// that its version was not completed.
-func (r rolloutReporter) CommitStart(ctx context.Context, move thconfig.Move) error {
+// that its version was not completed. The version stays in service if it was there before.
+func (r rolloutReporter) CommitStart(ctx context.Context, move thconfig.Move, inService bool) error {
 	rollout, err := r.rollout(move, thconfig.MoveRunning)
 	if err != nil {
 		return err
 	}
+	if inService {
+		rollout.Current = rollout.Target
+	}
 	_, err = r.store.ReportRollout(ctx, rollout)
 	return err
 }
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -146,7 +146,7 @@
 		return
 	}
 	m.commitStart(ctx, t, now)
-	if !t.bad.Load() {
+	if !t.bad.Load() && !t.alone.Load() {
 		counts := m.judgeFleet(v, t, now)
 		m.logEvidence(t, counts, now)
 		m.raiseStep(v, t, counts, now)
@@ -275,8 +275,12 @@
 
 // isComplete reports whether the new version has all traffic and the calls of the old
 // version have ended. Its servers may stop at once after the end of the move. Calls still
-// in progress near the deadline don't hold up the end.
+// in progress near the deadline don't hold up the end. The version that is in service
+// completes its move at the deadline.
 func (m *Mover) isComplete(t *track, now time.Time) bool {
+	if t.alone.Load() {
+		return t.isDue(now) // by then all servers are known
+	}
 	step := t.currentStep()
 	if step.number < lastStep || now.Sub(step.since) < 2*tickInterval || t.suspect {
 		return false
@@ -296,19 +300,19 @@
 		return
 	}
 	t.nextStart = now.Add(startCommitInterval)
-	move := t.move
+	move, inService := t.move, t.inService
 	m.work.Add(1)
 	go func() {
 		defer m.work.Done()
 		c, cancel := context.WithTimeout(ctx, startCommitInterval)
 		defer cancel()
-		err := m.StartCommitter.CommitStart(c, move)
+		err := m.StartCommitter.CommitStart(c, move, inService)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		switch {
 		case err == nil || therror.Is(err, therror.Conflict):
 			t.startCommitted = t.move.Order == move.Order
-			m.Log.Info("start of move committed", "move", move.Name, "replaced", err != nil)
+			m.Log.Info("start of move committed", "move", move.Name, "in_service", inService, "replaced", err != nil)
 		default:
 			m.Log.Warn("start of move not committed", "move", move.Name, "error", err, "interval", startCommitInterval)
 		}
--- a/thmove/startcommit_test.go
+++ b/thmove/inservice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -15,15 +16,17 @@
 
 // startRecorder is a StartCommitter that records its calls.
 type startRecorder struct {
-	mutex sync.Mutex
-	calls int
-	fail  error
+	mutex     sync.Mutex
+	calls     int
+	inService bool
+	fail      error
 }
 
-func (s *startRecorder) CommitStart(_ context.Context, _ thconfig.Move) error {
+func (s *startRecorder) CommitStart(_ context.Context, _ thconfig.Move, inService bool) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls++
+	s.inService = inService
 	return s.fail
 }
 
@@ -46,6 +49,38 @@
 	return f, starts
 }
 
+// Guards against an order of the version that all backend servers have: its old pool is empty,
+// and all requests would be rejected.
+func TestVersionInServiceKeepsItsTraffic(t *testing.T) {
+	f, starts := newOrderedFleet("2")
+	for _, m := range f.movers {
+		_, to, share, running := m.Share("slots")
+		assert.Assert(t, running && to == "new" && share == 1, "%s %v", to, share)
+	}
+	f.run(20, healthy, 2*time.Second)
+	assert.Assert(t, starts.inService)
+	f.run(20, healthy, moveTime)
+	assert.Equal(t, f.state(), thconfig.MoveDone)
+}
+
+// Guards against a new version that gets all traffic because a daemon has found only its
+// servers so far, or has lost the others.
+func TestNewVersionAloneGetsItsShare(t *testing.T) {
+	f, starts := newOrderedFleet("1", "2")
+	f.run(20, healthy, time.Second)
+	assert.Assert(t, !starts.inService)
+	for i := range f.members {
+		f.members[i].Server.Version = "2"
+	}
+	f.update()
+	started := &Mover{Membership: f.movers["otaru-0"].Membership, Clock: f.clock, Log: hclog.NewNullLogger()}
+	started.Update(&f.tables, f.members)
+	for _, m := range []*Mover{f.movers["otaru-0"], started} {
+		_, _, share, _ := m.Share("slots")
+		assert.Assert(t, share < 0.2, "share %v", share)
+	}
+}
+
 // Guards against the start of a move that is committed in a loop, or given up while the
 // platform is away.
 func TestStartOfMoveIsCommittedOnce(t *testing.T) {
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,9 +39,10 @@
 }
 
 // StartCommitter commits that a move runs, for daemons that start when its order has been
-// replaced. The error is of kind Conflict if the order has been replaced.
+// replaced, and whether the backend servers of the pool To were the only ones when it was
+// ordered. The error is of kind Conflict if the order has been replaced.
 type StartCommitter interface {
-	CommitStart(ctx context.Context, move thconfig.Move) error
+	CommitStart(ctx context.Context, move thconfig.Move, inService bool) error
 }
 
 const (
@@ -174,7 +176,8 @@
 		if old != nil {
 			t = old.byMove[move.Name]
 		}
-		if t == nil {
+		isNew := t == nil
+		if isNew {
 			t = newTrack(move, now)
 		}
 		if t.move.Order != move.Order { // a store that has come back from a copy gives it another version
@@ -188,6 +191,7 @@
 		to := countServers(tables, move.To, members)
 		next.servers[move.Name] = to
 		next.large[move.Name] = to+countServers(tables, move.From, members) > smallMoveServers
+		t.observeServers(to > 0 && !hasServer(tables, move.From, members), isNew && old != nil)
 	}
 	for _, s := range members {
 		next.zones[s.Name] = s.Zone
@@ -215,6 +219,14 @@
 	return n
 }
 
+// hasServer reports whether a member that is not dead has a backend server of the pool.
+func hasServer(tables *thconfig.Tables, pool string, members []thwire.Member) bool {
+	p, _ := tables.Pool(pool)
+	return slices.ContainsFunc(members, func(m thwire.Member) bool {
+		return m.State != thwire.MemberDead && m.Server != nil && p.Matches(m.Server.Service, m.Server.Version)
+	})
+}
+
 // Share returns the name of the route's running move, the pool that it sends traffic to
 // and that pool's traffic share, 0 to 1. running is false if the route has no move.
 func (m *Mover) Share(route string) (move, to string, share float64, running bool) {
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -30,6 +30,7 @@
 	bad             atomic.Bool            // the coordinator found the new version bad
 	end             atomic.Pointer[string] // committed final state, nil while the move is running
 	suspendedUntil  atomic.Int64           // ns since 1970; set when the local statistics are bad
+	alone           atomic.Bool            // the new version is in service and the only one with backend servers
 	ingressCounters sync.Map               // counterKey to *slidingCounter: calls sent by this daemon
 	served          [2]servedCalls         // calls served by the local backend server, in pools From and To
 
@@ -52,6 +53,7 @@
 	commitState    string    // of these attempts
 	commitReason   string
 	nextCommit     time.Time // earliest time of the next attempt
+	inService      bool      // the new version had the only backend servers when the move was ordered
 	startCommitted bool      // used by the coordinator: the start is committed, or the order has been replaced
 	nextStart      time.Time // earliest time of the next attempt to commit the start
 }
@@ -90,6 +92,15 @@
 	return t
 }
 
+// observeServers notes whether only the new version has backend servers. If that is so when
+// the move is ordered, it is the version in service and keeps the traffic. Later it gets no
+// more than its share, as a daemon that starts may find the servers of the versions one after
+// the other.
+func (t *track) observeServers(onlyNew, ordered bool) {
+	t.inService = t.inService || ordered && onlyNew
+	t.alone.Store(t.inService && onlyNew)
+}
+
 func (t *track) currentStep() *moveStep { return t.step.Load() }
 
 // putReport stores a report from another daemon or from this one. A move without a start
@@ -131,6 +142,9 @@
 	default:
 		return 0
 	}
+	if t.alone.Load() {
+		return 1
+	}
 	if t.bad.Load() || now.UnixNano() < t.suspendedUntil.Load() || now.Before(t.move.Start) {
 		return 0
 	}
