Limit the header of the store's responses

What operators of similar systems saw: a faulty upstream sent bytes without end, the machine that had called it kept them and ran out of memory.

Cause: the client of the store limited the body of a response and not its header. net/http allows 10 MB for one and keeps several copies of it.

Ruled out: bodies, limited to 4 MiB; trailers, chunk sizes and extensions, and informational responses, limited by net/http (same test).

Change: the limit of the clients of the platform's other services, 64 KiB.

--- a/thplatform/transport.go
+++ b/thplatform/transport.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	maxIdleConns           = 32 // per endpoint
-	maxResponseHeaderBytes = 64 << 10
+	maxIdleConns = 32 // per endpoint
+	// MaxResponseHeaderBytes limits the header of a response, in bytes. A client keeps a header
+	// in memory until it is complete.
+	MaxResponseHeaderBytes = 64 << 10
 )
 
 // errResponseTooLarge is returned by reads of a response body beyond the limit.
@@ -21,7 +23,7 @@
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
 	t.MaxIdleConnsPerHost = maxIdleConns
-	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
+	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
 	return &http.Client{
 		Transport:     limitedTransport{RoundTripper: t, limit: limit},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -29,13 +29,16 @@
 	dir    string
 	store  *thstandin.RowStore
 	server *httptest.Server
-	nodes  []*hostedNode
+
+	storeHandler *endlessHandler // serves store
+	nodes        []*hostedNode
 
 	newVersions    int           // number of the last backend servers that are of version v2
 	size           int           // number of nodes
 	slots          int           // of each backend server
 	processingTime time.Duration // of a request
 	routeTimeout   time.Duration // of the routes view and book; one second when shorter
+	settings       string        // further settings of the daemons
 }
 
 // hostedNode is a daemon process and the stand-in of its backend server.
@@ -79,7 +82,8 @@
 func (h *hostedFleet) startNodes() {
 	t := h.t
 	h.dir, h.store = t.TempDir(), &thstandin.RowStore{}
-	h.server = httptest.NewServer(h.store)
+	h.storeHandler = &endlessHandler{Handler: h.store}
+	h.server = httptest.NewServer(h.storeHandler)
 	t.Cleanup(h.server.CloseClientConnections)
 	for i := range h.size {
 		h.add(i + 1)
@@ -103,14 +107,11 @@
 	n := &hostedNode{name: fmt.Sprintf("node-%d", i), state: "ready"}
 	n.settings = filepath.Join(h.dir, n.name+".ini")
 	content := fmt.Sprintf("[daemon]\nname = %s\nzone = zone-%d\nregion = here\nbootstrap = true\n[listen]\ningress = %s\npeer = %s\nlocal = %s\nready = %s\nadmin = %s\n"+
-		"[platform]\nkind = rows\nstore = %s\n[server]\nservice = page\naddress = %s\n[stop]\nnotice = 500ms\ngrace = 3s\n",
+		"[platform]\nkind = rows\nstore = %s\n[server]\nservice = page\naddress = %s\n[stop]\nnotice = 500ms\ngrace = 3s\n%s",
 		n.name, i, at(hostedIngressPort), at(hostedPeerPort), at(hostedControlPort), at(hostedReadyPort), at(hostedAdminPort),
-		strings.TrimPrefix(h.server.URL, "http://"), at(hostedServerPort))
+		strings.TrimPrefix(h.server.URL, "http://"), at(hostedServerPort), h.settings)
 	assert.NilError(h.t, os.WriteFile(n.settings, []byte(content), 0o600))
-	n.instance = &thstandin.Instance{
-		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: h.versionOf(i), Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
-		Address: at(hostedServerPort), ControlAddress: at(hostedControlPort), ProcessingTime: h.processingTime, StartTime: time.Now(),
-	}
+	n.instance = h.newInstance(i, ip)
 	assert.NilError(h.t, n.serveInstance())
 	h.t.Cleanup(n.closeInstance)
 	n.start(h)
@@ -118,15 +119,27 @@
 	h.nodes = append(h.nodes, n)
 }
 
+// newInstance returns a backend server for node i that starts now.
+func (h *hostedFleet) newInstance(i int, ip string) *thstandin.Instance {
+	return &thstandin.Instance{
+		ID: fmt.Sprintf("i-%d", i), Service: "page", Version: h.versionOf(i), Zone: fmt.Sprintf("zone-%d", i), Slots: h.slots,
+		Address: fmt.Sprintf("%s:%d", ip, hostedServerPort), ControlAddress: fmt.Sprintf("%s:%d", ip, hostedControlPort),
+		ProcessingTime: h.processingTime, StartTime: time.Now(),
+	}
+}
+
 // serveInstance serves the requests of the backend server.
-func (n *hostedNode) serveInstance() error {
+func (n *hostedNode) serveInstance() error { return n.serve(n.instance) }
+
+// serve serves the requests of the backend server with a handler.
+func (n *hostedNode) serve(handler http.Handler) error {
 	l, err := net.Listen("tcp", n.instance.Address)
 	if err != nil {
 		return err
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.server = &http.Server{Handler: n.instance}
+	n.server = &http.Server{Handler: handler}
 	go n.server.Serve(l)
 	return nil
 }
@@ -148,10 +161,10 @@
 func (n *hostedNode) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.mutex.Lock()
-		state := n.state
+		state, instance := n.state, n.instance
 		n.mutex.Unlock()
 		if state != "" {
-			_ = n.instance.SendHeartbeat(state, 0)
+			_ = instance.SendHeartbeat(state, 0)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -191,7 +204,12 @@
 
 // send is call that returns the response, whose body the caller closes.
 func (n *hostedNode) send(method, path, id, body string) (*http.Response, error) {
-	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", n.ip(), hostedIngressPort, path), bytes.NewReader([]byte(body)))
+	return n.sendContext(context.Background(), method, path, id, body)
+}
+
+// sendContext is send with a context.
+func (n *hostedNode) sendContext(ctx context.Context, method, path, id, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", n.ip(), hostedIngressPort, path), bytes.NewReader([]byte(body)))
 	if err != nil {
 		return nil, err
 	}
