Limit the header of a backend server's response to 64 KiB

What callers would see: calls of others end when a daemon runs out of memory beside a server that sends headers without end.

Cause: a header of 256 KiB in lines of a few bytes takes some MB, in each call in progress, so that the sum grows with the slots of the server.

Change: 64 KiB, as for responses of the store. A header of 64 to 256 KiB now fails with 502.

--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -25,8 +25,8 @@
 // Limits of a DirectTransport.
 const (
 	connectTimeout = time.Second
-	maxHeaderBytes = 256 << 10 // status line and header of a response
-	readBufferSize = 8 << 10   // bytes
+	maxHeaderBytes = 64 << 10 // status line and header of a response
+	readBufferSize = 8 << 10  // bytes
 	// maxInlineBody is the largest request body, in bytes, that is sent in one write
 	// with the header. A longer body is sent while the response is read, since the
 	// server may respond early.
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -209,7 +209,7 @@
 				return
 			}
 			mutex.Lock()
-			sessions = append(sessions, thwire.ServeCalls(c, func(i *thwire.Incoming) { target.Serve(i) }))
+			sessions = append(sessions, thwire.ServeCalls(c, func(i *thwire.Incoming) { target.Serve(i) }, nil))
 			mutex.Unlock()
 		}
 	}()
