Limit tables that arrive in several batches

What callers would see: calls end when the daemon runs out of memory, because another daemon sends parts of tables that never end.

Cause: parts are joined until one has the digest of the whole, without a limit.

Change: at most 16 MiB, several times the most routes that are decoded. Larger tables are logged and dropped.

--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -86,7 +86,7 @@
 	preparers         []func(*Snapshot)
 	intN              func(int) int // chooses a member; nil means rand.IntN
 
-	mutex        sync.Mutex // serialises swaps and guards the fields up to partialFrom
+	mutex        sync.Mutex // serialises swaps and guards the fields up to partialBytes
 	lastErr      error
 	backlog      backlog // versions that other daemons hold and this one does not
 	behindLogged uint64  // first missing version of the last line about being behind
@@ -97,6 +97,7 @@
 	fetchAll     bool            // the next fetch requests all routes
 	partial      thconfig.Tables // tables received so far, when they arrive in several batches
 	partialFrom  string          // sender of partial
+	partialBytes int             // encoded size of partial
 
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
--- a/thsync/peer.go
+++ b/thsync/peer.go
@@ -11,7 +11,10 @@
 const (
 	// maxBatchBytes limits the encoded size of the entries of one Delta or Batch. It
 	// is below thwire.MaxFrame to leave room for the envelope.
-	maxBatchBytes    = 512 << 10
+	maxBatchBytes = 512 << 10
+	// maxReceivedBytes limits the encoded size of tables that arrive in several batches. It is
+	// several times that of 16,384 routes, the most that Decode accepts.
+	maxReceivedBytes = 16 << 20
 	minFetchInterval = 300 * time.Millisecond // minimum interval between requests for missed changes
 	gossipInterval   = time.Second
 )
@@ -214,7 +217,11 @@
 		r.partialFrom, r.partial = from, thconfig.Tables{Version: part.Version}
 	}
 	t, err := thconfig.Apply(r.partial, setEdits(part))
+	if err == nil && t.Msgsize() > maxReceivedBytes {
+		err = therror.New(therror.Refused, "tables of more than %d bytes", maxReceivedBytes)
+	}
 	if err != nil {
+		r.partial, r.partialFrom = thconfig.Tables{}, ""
 		return t, err
 	}
 	t.Version = part.Version
--- a/thsync/tables.go
+++ b/thsync/tables.go
@@ -196,10 +196,15 @@
 		return t, true
 	}
 	if from != f.partialFrom || f.partial.Version != m.Tables.Version {
-		f.partial, f.partialFrom = *m.Tables, from
+		f.partial, f.partialFrom, f.partialBytes = *m.Tables, from, 0
 	} else {
 		f.partial.Routes = append(f.partial.Routes, m.Tables.Routes...)
 	}
+	if f.partialBytes += m.Tables.Msgsize(); f.partialBytes > maxReceivedBytes {
+		f.Log.Warn("tables too large", "peer", from, "version", thconfig.VersionText(m.Tables.Version), "limit", maxReceivedBytes)
+		f.partial, f.partialFrom = thconfig.Tables{}, ""
+		return thconfig.Tables{}, false
+	}
 	if len(m.Digest) == 0 { // further parts follow
 		return thconfig.Tables{}, false
 	}
