Share one limit for unread bytes among all sessions

What callers would see: their calls end when the daemon runs out of memory beside another daemon that opens many calls and sends as much as it may.

Cause: each session limited its own unread bytes to 128 MiB, and nothing limited the sum.

Change: a limit of an eighth of memory.limit for all sessions of a process. If it is exceeded the session with the most unread bytes ends.

Why it works: a faulty peer's session is the largest before it can take what the others need.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -38,6 +38,9 @@
 const (
 	metricsInterval = time.Second
 	logFlushTimeout = time.Second // for writing buffered log lines at exit
+	// bufferFraction is the fraction of the memory limit that unread bytes of calls may take.
+	// Their buffers have up to twice the size, and so has the heap until it is collected.
+	bufferFraction = 8
 )
 
 // Daemon is one daemon. Set the exported fields before Run.
@@ -185,7 +188,7 @@
 	d.listener = &thwire.Listener{
 		Address: s.Listen.Peer,
 		Control: func(c net.Conn, h thwire.Hello) { d.node.Serve(c, &h) },
-		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target) },
+		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target, d.dialer.Buffers) },
 		Log:     d.Log.Named("wire"),
 	}
 	d.subscribe()
@@ -222,7 +225,7 @@
 
 // buildCalls builds the components on the request path.
 func (d *Daemon) buildCalls() {
-	d.dialer = &thwire.Dialer{Clock: d.Clock, Hello: func() thwire.Hello {
+	d.dialer = &thwire.Dialer{Clock: d.Clock, Buffers: &thwire.BufferLimit{Bytes: int64(d.Settings.Memory.Limit) / bufferFraction}, Hello: func() thwire.Hello {
 		self := d.node.Member
 		return thwire.Hello{
 			Protocol: thwire.Protocol, Kind: thwire.KindCall,
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -22,8 +22,8 @@
 	goingAway bool // goAway was called
 }
 
-func (s *sessions) serve(c net.Conn, t *thproxy.Target) {
-	session := thwire.ServeCalls(c, func(i *thwire.Incoming) { t.Serve(i) })
+func (s *sessions) serve(c net.Conn, t *thproxy.Target, limit *thwire.BufferLimit) {
+	session := thwire.ServeCalls(c, func(i *thwire.Incoming) { t.Serve(i) }, limit)
 	s.mu.Lock()
 	if s.all == nil {
 		s.all = map[*thwire.Session]struct{}{}
--- a/thproof/endless_test.go
+++ b/thproof/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -16,6 +17,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
 // memoryLimit is the memory of the smallest machines of the users' deployments. A process that
@@ -245,3 +249,102 @@
 		h.requireServed(route, 5*time.Second)
 	}
 }
+
+// endlessPeer is a faulty daemon that sends messages without end.
+type endlessPeer struct {
+	name    string
+	kind    string // of the connection
+	message func(i int) (thwire.Type, thwire.Message)
+	raw     func(i int) []byte // sent in place of messages, if set
+	alone   bool               // over one connection
+}
+
+// endlessPeers returns the kinds of messages of which a daemon keeps something.
+func endlessPeers(t *testing.T) []endlessPeer {
+	long := strings.Repeat("x", 60)
+	frame := func(kind thwire.Type, stream uint32, size int) []byte {
+		b, err := thwire.AppendRaw(nil, kind, stream, make([]byte, size))
+		assert.NilError(t, err)
+		return b
+	}
+	return []endlessPeer{
+		{name: "bytes that are no frame", kind: thwire.KindControl, raw: func(int) []byte { return []byte(strings.Repeat("z", 64<<10)) }},
+		{name: "parts of tables", kind: thwire.KindControl, alone: true, message: func(i int) (thwire.Type, thwire.Message) {
+			tables := &thconfig.Tables{Version: 1 << 30}
+			for r := range 200 {
+				tables.Routes = append(tables.Routes, thconfig.Route{Name: fmt.Sprint(long, i, "-", r), Host: long, Path: "/" + long + "/"})
+			}
+			return thwire.TypeBatch, &thwire.Batch{Tables: tables}
+		}},
+		{name: "members", kind: thwire.KindControl, message: func(i int) (thwire.Type, thwire.Message) {
+			u := &thwire.Update{}
+			for m := range 200 {
+				u.Members = append(u.Members, thwire.Member{Name: fmt.Sprint("m", i, "-", m), Zone: long, Incarnation: 1, Server: &thwire.Server{Service: long, Instance: long}})
+			}
+			return thwire.TypeUpdate, u
+		}},
+		{name: "states of moves", kind: thwire.KindControl, message: func(i int) (thwire.Type, thwire.Message) {
+			u := &thwire.Update{}
+			for m := range 200 {
+				u.Facts = append(u.Facts, thwire.MoveState{Move: fmt.Sprint("m", i, "-", m), Reason: long})
+			}
+			return thwire.TypeUpdate, u
+		}},
+		{name: "calls", kind: thwire.KindCall, raw: func(i int) []byte {
+			b, err := thwire.AppendFrame(nil, thwire.TypeOpen, &thwire.Open{Stream: uint32(i + 1), Route: "view", Pool: "page", Method: "POST", Target: "/view/x", Host: "site.example", Deadline: int64(10 * time.Second)})
+			assert.NilError(t, err)
+			for range 8 {
+				b = append(b, frame(thwire.TypeRequestBody, uint32(i+1), 32<<10)...)
+			}
+			return b
+		}},
+	}
+}
+
+// Guards against a daemon that keeps what another daemon sends without end, and against calls
+// of others that end with it.
+func TestEndlessMessagesFromAPeerKeepMemoryBounded(t *testing.T) {
+	h := newEndlessFleet(t, 2)
+	for _, p := range endlessPeers(t) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		var peers sync.WaitGroup
+		connections := 4
+		if p.alone {
+			connections = 1
+		}
+		for c := range connections {
+			peers.Go(func() { p.run(ctx, t, fmt.Sprint("peer-", c), h.nodes[0].ip()) })
+		}
+		peers.Wait()
+		cancel()
+		h.requireWithinMemory(p.name)
+		h.waitServing()
+	}
+}
+
+// run sends messages to a daemon until ctx ends, on new connections when it closes them.
+func (p *endlessPeer) run(ctx context.Context, t *testing.T, name, ip string) {
+	for connection := 0; ctx.Err() == nil; connection++ {
+		hello := thwire.Hello{Kind: p.kind, Name: fmt.Sprint(name, "-", connection), Zone: "zone-9", Region: "here"}
+		c, err := thwire.Dial(ctx, netip.MustParseAddrPort(fmt.Sprintf("%s:%d", ip, hostedPeerPort)), hello)
+		if err != nil {
+			continue
+		}
+		go io.Copy(io.Discard, c)
+		for i := 0; ctx.Err() == nil; i++ {
+			var b []byte
+			if p.raw != nil {
+				b = p.raw(i)
+			} else {
+				kind, message := p.message(i)
+				b, err = thwire.AppendFrame(nil, kind, message)
+				assert.Check(t, err)
+			}
+			_ = c.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+			if _, err := c.Write(b); err != nil {
+				break
+			}
+		}
+		c.Close()
+	}
+}
--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -38,6 +38,7 @@
 	// Sessions is the maximum number of sessions to a peer; zero means 2. A single
 	// session needs half the memory and suffices for small calls.
 	Sessions int
+	Buffers  *BufferLimit // of the sessions; nil limits each by itself
 
 	mutex  sync.Mutex
 	peers  map[netip.AddrPort]*peer
@@ -253,7 +254,7 @@
 		_ = c.Close()
 		return nil, therror.Wrap(therror.Down, err, "hello")
 	}
-	return startSession(c, nil, d.Clock), nil
+	return startSession(c, nil, d.Clock, d.Buffers), nil
 }
 
 // closeAfter waits until the session has had no streams for the given time and closes
--- a/thwire/dialer_test.go
+++ b/thwire/dialer_test.go
@@ -49,7 +49,7 @@
 	defer b.Close()
 	go io.Copy(io.Discard, b)
 	clock := clockwork.NewFakeClock()
-	s := startSession(a, nil, clock)
+	s := startSession(a, nil, clock, nil)
 	defer s.Close()
 	st, err := s.open(t.Context(), &Open{Ended: true})
 	assert.NilError(t, err)
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -21,7 +21,7 @@
 // Limits of a session.
 const (
 	maxStreams        = 1024      // concurrent streams; further ones are rejected with kind Full
-	maxBufferedBytes  = 128 << 20 // bytes received but not read, over all streams
+	maxBufferedBytes  = 128 << 20 // bytes received but not read, over all streams, without a BufferLimit
 	maxStreamID       = 1 << 31   // a session whose stream numbers reach it is replaced
 	sessionBufferSize = 16 << 10
 )
@@ -33,6 +33,7 @@
 	clock         clockwork.Clock
 	handler       func(*Incoming) // nil on the side that dialled
 	out           *sendQueue
+	limit         *BufferLimit // nil means maxBufferedBytes
 	buffered      atomic.Int64 // bytes received but not read, over all streams
 	lastRead      atomic.Int64 // time of the last frame from the peer, in ns since 1970
 	peerGoingAway atomic.Bool  // the peer accepts no new streams
@@ -66,18 +67,22 @@
 }
 
 // ServeCalls starts a session that handles the calls that the peer opens on conn, from
-// which Hello must have been read. Each call runs in a goroutine of its own.
-func ServeCalls(conn net.Conn, handler func(*Incoming)) *Session {
-	return startSession(conn, handler, nil)
+// which Hello must have been read. Each call runs in a goroutine of its own. A nil limit
+// limits the buffers of this session only.
+func ServeCalls(conn net.Conn, handler func(*Incoming), limit *BufferLimit) *Session {
+	return startSession(conn, handler, nil, limit)
 }
 
-func startSession(conn net.Conn, handler func(*Incoming), clock clockwork.Clock) *Session {
+func startSession(conn net.Conn, handler func(*Incoming), clock clockwork.Clock, limit *BufferLimit) *Session {
 	s := &Session{
-		conn: conn, handler: handler, clock: thclock.OrSystem(clock), out: newSendQueue(),
+		conn: conn, handler: handler, clock: thclock.OrSystem(clock), out: newSendQueue(), limit: limit,
 		streams: make(map[uint32]sessionStream), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	s.idleSince = s.clock.Now()
 	s.lastRead.Store(s.idleSince.UnixNano())
+	if limit != nil {
+		limit.add(s)
+	}
 	s.loops.Add(3)
 	go s.readLoop()
 	go s.writeLoop()
@@ -85,6 +90,9 @@
 	go func() {
 		s.loops.Wait()
 		s.workers.Wait()
+		if limit != nil {
+			limit.remove(s)
+		}
 		close(s.ended)
 	}()
 	return s
@@ -225,8 +233,8 @@
 			s.lastRead.Store(s.clock.Now().UnixNano())
 			err = s.dispatch(t, payload)
 		}
-		if err == nil && s.buffered.Load() > maxBufferedBytes {
-			err = therror.New(therror.Full, "more than %d bytes buffered", maxBufferedBytes)
+		if err == nil {
+			err = s.checkBuffered()
 		}
 		if errors.Is(err, io.EOF) {
 			// Streams return this error, and a wrapped io.EOF could be taken for the end
@@ -243,6 +251,17 @@
 	}
 }
 
+// checkBuffered returns an error of kind Full if this session has too many bytes buffered.
+func (s *Session) checkBuffered() error {
+	if s.limit != nil {
+		return s.limit.check(s)
+	}
+	if s.buffered.Load() > maxBufferedBytes {
+		return therror.New(therror.Full, "more than %d bytes buffered", maxBufferedBytes)
+	}
+	return nil
+}
+
 // readFrame is like ReadFrame, but avoids the allocation of a payload that fits into
 // the buffer of r. The payload is valid until the next read.
 func readFrame(r *bufio.Reader, buffer *[]byte) (Type, []byte, error) {
--- a/thwire/session_test.go
+++ b/thwire/session_test.go
@@ -42,7 +42,7 @@
 				continue // accepts and stays silent
 			}
 			p.mutex.Lock()
-			p.sessions = append(p.sessions, ServeCalls(c, handler))
+			p.sessions = append(p.sessions, ServeCalls(c, handler, nil))
 			p.mutex.Unlock()
 		}
 	}()
@@ -266,7 +266,7 @@
 // rawSession returns the dialling side of a session and the other end of its connection.
 func rawSession(t *testing.T) (*Session, net.Conn) {
 	a, b := net.Pipe()
-	s := startSession(a, nil, nil)
+	s := startSession(a, nil, nil, nil)
 	go io.Copy(io.Discard, b)
 	t.Cleanup(func() { b.Close(); s.Close() })
 	return s, b
@@ -351,7 +351,7 @@
 		"other protocol": frame(t, nil, TypeHello, &Hello{Protocol: 99}),
 	} {
 		a, c := net.Pipe()
-		s := ServeCalls(a, func(i *Incoming) { <-i.Context().Done() })
+		s := ServeCalls(a, func(i *Incoming) { <-i.Context().Done() }, nil)
 		go io.Copy(io.Discard, c)
 		_, _ = c.Write(b)
 		select {
@@ -374,7 +374,7 @@
 	s := ServeCalls(a, func(*Incoming) {
 		running.Add(1)
 		<-release
-	})
+	}, nil)
 	go io.Copy(io.Discard, c)
 	for id := range uint32(2 * maxStreams) {
 		b := frame(t, nil, TypeOpen, &Open{Stream: id + 1})
--- a/thwire/silence_test.go
+++ b/thwire/silence_test.go
@@ -39,7 +39,7 @@
 		}
 	}()
 	clock := clockwork.NewFakeClock()
-	s := startSession(a, nil, clock)
+	s := startSession(a, nil, clock, nil)
 	defer s.Close()
 	once, err := s.open(t.Context(), &Open{Ended: true, Once: true})
 	assert.NilError(t, err)
@@ -95,7 +95,7 @@
 		started <- i.open.Stream
 		<-i.Context().Done()
 		cancelled <- i.open.Stream
-	}, clock)
+	}, clock, nil)
 	for range 2 {
 		<-started
 	}
