Create the context of a call before the session knows of it

Cause: the call was in the session's map before its context existed, and a failing session calls its cancel function, which was nil.

Evidence: TestSessionFailsWhileCallIsOpened under the race detector: two data races before, none after. No crash was seen.

Looked for elsewhere: the streams of the calling side have no context of their own; idle.

--- a/thwire/session.go
+++ b/thwire/session.go
@@ -373,13 +373,17 @@
 	}
 	id := in.open.Stream
 	in.init(s, id, TypeResponseBody)
+	// The session may fail as soon as it knows of the call, which cancels the context.
+	in.initContext()
 	s.mutex.Lock()
 	if err := s.failure; err != nil {
 		s.mutex.Unlock()
+		in.cancel()
 		return err
 	}
 	if id <= s.lastID {
 		s.mutex.Unlock()
+		in.cancel()
 		return therror.New(therror.Frame, "stream %d opened after stream %d", id, s.lastID)
 	}
 	s.lastID = id
@@ -398,10 +402,10 @@
 	}
 	s.mutex.Unlock()
 	if rejection != "" {
+		in.cancel()
 		s.send(TypeRefuse, &Refuse{Stream: id, Kind: string(rejection), Message: "session takes no more streams"})
 		return nil
 	}
-	in.initContext()
 	go in.run(s.handler)
 	return nil
 }
