Use a new connection when one to another daemon has fallen silent

Cause: new calls went over a silent connection until it was given up after 0.9 s, and then the peer was not dialled for a second, though it accepts connections. The connection was taken for the peer.

Ruled out: more frequent pings by a timer, as a daemon has sessions to most others.

Change: a call to a peer that has sent nothing for 0.15 s, with others in progress, carries a ping. Without a frame 0.3 s later new calls use a new connection; calls in progress go on until the timeout of a silent peer.

--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -53,6 +53,7 @@
 	dialError    error         // of the last dial; nil if it succeeded
 	backoff      time.Duration // before jitter; zero after a success
 	nextDial     time.Time
+	nextReplace  time.Time // until then no session is replaced
 	leavingUntil time.Time // the peer counts as leaving until then, after a GoAway
 }
 
@@ -138,6 +139,9 @@
 		case s.silent.Load():
 			p.nextDial, p.dialError = now.Add(silentPeerPause), therror.New(therror.Broken, "peer silent")
 			go s.closeWhenIdle()
+		case !s.answersPing() && !now.Before(p.nextReplace):
+			p.nextReplace = now.Add(silentPeerPause)
+			go s.closeWhenIdle()
 		case s.alive():
 			kept = append(kept, s)
 		}
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -38,6 +38,8 @@
 	lastRead      atomic.Int64 // time of the last frame from the peer, in ns since 1970
 	peerGoingAway atomic.Bool  // the peer accepts no new streams
 	goingAway     atomic.Bool  // this side accepts no new streams
+	started       time.Time    // of the session
+	pinged        atomic.Int64 // ns from started to the first ping of answersPing without a frame since; zero without one
 	silent        atomic.Bool  // the peer was silent for silenceTimeout; no new streams are opened
 
 	mutex           sync.Mutex
@@ -79,6 +81,7 @@
 		streams: make(map[uint32]sessionStream), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	s.idleSince = s.clock.Now()
+	s.started = s.idleSince
 	s.lastRead.Store(s.idleSince.UnixNano())
 	if limit != nil {
 		limit.add(s)
@@ -231,6 +234,7 @@
 		t, payload, err := readFrame(r, &buffer)
 		if err == nil {
 			s.lastRead.Store(s.clock.Now().UnixNano())
+			s.pinged.Store(0)
 			err = s.dispatch(t, payload)
 		}
 		if err == nil {
--- a/thwire/silence.go
+++ b/thwire/silence.go
@@ -12,6 +12,12 @@
 	// those that can be retried elsewhere end: the peer has had pingInterval to reply to a
 	// ping, and an idempotent call with the typical deadline of 2 s has time for a retry.
 	silenceTimeout = 900 * time.Millisecond
+	// stallTimeout is how long the peer may take to reply to a ping until new calls use another
+	// connection. It may only be busy, so the calls in progress go on until silenceTimeout.
+	stallTimeout = 300 * time.Millisecond
+	// stallPingDelay is how long a peer with streams in progress may send nothing before the
+	// next call is sent with a ping.
+	stallPingDelay = 150 * time.Millisecond
 	// silentPeerPause is how long a peer is not dialled again after its silence.
 	silentPeerPause = time.Second
 )
@@ -49,6 +55,24 @@
 	}
 }
 
+// answersPing reports whether the peer replies in time to the pings that are sent with new
+// calls. A connection may fall silent for good while the peer accepts new ones. It uses no
+// timer, as a daemon has a session to most others.
+func (s *Session) answersPing() bool {
+	if s.Active() == 0 {
+		return true
+	}
+	now := s.clock.Now()
+	elapsed := now.Sub(s.started)
+	if pinged := time.Duration(s.pinged.Load()); pinged > 0 {
+		return elapsed-pinged < stallTimeout
+	}
+	if now.Sub(time.Unix(0, s.lastRead.Load())) >= stallPingDelay && s.pinged.CompareAndSwap(0, int64(max(elapsed, 1))) {
+		_ = s.sendLater(TypePing, Ping{})
+	}
+	return true
+}
+
 // handleSilence ends the streams that don't outlive the silence of the peer, and the
 // session if there are no others. Frames of ended streams may still reach the peer, so
 // their calls are not known to be not run.
