Put a late drain in effect when it is acknowledged

What callers saw: not seen. A drain that arrived after a later heartbeat of the same process was acknowledged and had no effect until the next heartbeat.

Cause: messages with a lower sequence were dropped as outdated, whatever they said.

Evidence: TestLateDrainIsInEffect failed before.

Ruled out: refusing drains of a process whose instance has started again. The model of departures expects late messages to be acknowledged.

--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -203,9 +203,14 @@
 		return &n
 	case c == nil:
 	case same && h.StartTime.Equal(c.StartTime):
-		if h.Sequence <= c.Sequence {
+		if h.Sequence <= c.Sequence && (c.Leaving || !h.Leaving) {
 			return c // late or repeated heartbeat
 		}
+		if h.Sequence <= c.Sequence {
+			n := *c // a process that has begun to leave goes on with that
+			n.Leaving, n.LastHeartbeat = true, now
+			return &n
+		}
 		h.Leaving = h.Leaving || c.Leaving
 	case h.StartTime.Before(c.StartTime):
 		return c // heartbeat of an instance that started before the current one
--- a/thserver/registry_test.go
+++ b/thserver/registry_test.go
@@ -136,3 +136,16 @@
 	assert.NilError(t, g.HandleHeartbeat(heartbeat("i-1", 1, clock.Now())))
 	assert.Assert(t, g.Current() != nil && !g.Current().Leaving, "a later process of the instance is another one")
 }
+
+// Guards against a drain that is acknowledged and has no effect: it arrives after a later
+// heartbeat of the same process.
+func TestLateDrainIsInEffect(t *testing.T) {
+	g := &Registry{}
+	assert.NilError(t, g.HandleHeartbeat(heartbeat("i-1", 6, firstStart)))
+	leaving := heartbeat("i-1", 5, firstStart)
+	leaving.Leaving = true
+	assert.NilError(t, g.HandleHeartbeat(leaving))
+	assert.Assert(t, g.Current().Leaving)
+	assert.NilError(t, g.HandleHeartbeat(heartbeat("i-1", 7, firstStart)))
+	assert.Assert(t, g.Current().Leaving)
+}
