--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -203,13 +203,8 @@
 		return &n
 	case c == nil:
 	case same && h.StartTime.Equal(c.StartTime):
-		if h.Sequence <= c.Sequence && (c.Leaving || !h.Leaving) {
-			return c // late or repeated heartbeat
-		}
 		if h.Sequence <= c.Sequence {
-			n := *c // a process that has begun to leave goes on with that
-			n.Leaving, n.LastHeartbeat = true, now
-			return &n
+			return c.afterLate(h, now)
 		}
 		h.Leaving = h.Leaving || c.Leaving
 	case h.StartTime.Before(c.StartTime):
@@ -222,6 +217,17 @@
 	return n
 }
 
+// afterLate returns the entry after a late or repeated heartbeat of its process. A process
+// that has begun to leave goes on with that.
+func (e *Entry) afterLate(h Heartbeat, now time.Time) *Entry {
+	if e.Leaving || !h.Leaving {
+		return e
+	}
+	n := *e
+	n.Leaving, n.LastHeartbeat = true, now
+	return &n
+}
+
 // hasLeft reports whether the process that sends a heartbeat is known to have left.
 func (g *Registry) hasLeft(h Heartbeat) bool {
 	start, found := g.left[h.Instance]
