--- a/thproof/stop_test.go
+++ b/thproof/stop_test.go
@@ -59,6 +59,7 @@
 // against calls that the drain truncates.
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	f := deploy(t, &thfleet.Ishikari, 2*time.Millisecond)
+	warmUp(t, f, "/slots/now")
 	r := startTraffic(t, f, &thload.Generator{Path: "/slots/stream?parts=5&gap=10", Parts: 5, Rate: 200})
 	time.Sleep(time.Second)
 	leaving := findUpstream(t, f, "slotboard-1-2")
