--- a/thsync/longpoll.go
+++ b/thsync/longpoll.go
@@ -37,12 +37,12 @@
 
 // longPoll is the request to the source that is in progress. The zero value is ready to use.
 type longPoll struct {
-	mutex    sync.Mutex
-	since    time.Time     // zero while there is no request
-	wait     time.Duration // for which the source may hold the request open
-	complete bool          // the last read has succeeded, so that the source may wait for a change
-	cancel   context.CancelFunc
-	lost     string // why the request was abandoned
+	mutex   sync.Mutex
+	since   time.Time     // zero while there is no request
+	wait    time.Duration // for which the source may hold the request open
+	mayWait bool          // the last read has succeeded, so that the source may wait for a change
+	cancel  context.CancelFunc
+	lost    string // why the request was abandoned
 }
 
 // begin notes a request that is sent now and returns its context.
@@ -59,7 +59,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.cancel()
-	p.since, p.complete = time.Time{}, succeeded
+	p.since, p.mayWait = time.Time{}, succeeded
 	return p.lost
 }
 
@@ -67,7 +67,7 @@
 func (p *longPoll) reset() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.complete = false
+	p.mayWait = false
 }
 
 // abandonIf cancels a request in progress that waits for a change if the function returns a
@@ -75,7 +75,7 @@
 func (p *longPoll) abandonIf(reason func(since time.Time, wait time.Duration) string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.since.IsZero() || !p.complete || p.lost != "" {
+	if p.since.IsZero() || !p.mayWait || p.lost != "" {
 		return
 	}
 	if p.lost = reason(p.since, p.wait); p.lost != "" {
