--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -349,7 +350,10 @@
 	var kept thconfig.Config
 	if s := f.current.Load(); s != nil {
 		kept = s.Tables.Config()
-		o.ContinueRollouts(&s.Tables)
+		continued := *o // the orders belong to the source
+		continued.Rollouts = slices.Clone(o.Rollouts)
+		continued.ContinueRollouts(&s.Tables)
+		o = &continued
 	}
 	if o.Config.Revision == 0 && o.ConfigErr == nil && kept.Revision == 0 {
 		f.Log.Info("no configuration yet", "version", thconfig.VersionText(o.Version))
