Check the limit of the send queue and append in one step

What callers see: with hundreds of large bodies on one session, all its calls end with "peer reads too slowly or session is closed", although the peer reads.

Cause: writers of data frames wait until the send queue is below its soft limit of 1 MiB, and append after that. When the queue is taken, all waiting writers pass the check before the first of them has appended. 1,000 of them add up to 31 MiB, and above 16 MiB the session counts as one whose peer does not read.

Found by TestThousandStreams, which panicked in a run of the package beside load (an index of a missing trailer hid the error). It reports the error now. Ruled out: a peer that is silent, since the error is the one of the queue.

Change: the check and the append are one step. A writer that finds the queue full again waits again.

--- a/thwire/flow.go
+++ b/thwire/flow.go
@@ -161,10 +161,9 @@
 		if err != nil {
 			return total, err
 		}
-		if err := f.session.out.waitBelowSoftLimit(ctx); err != nil {
-			return total, contextError(ctx)
+		if err := f.session.sendData(ctx, f.dataType, f.id, p[:n]); err != nil {
+			return total, err
 		}
-		f.session.sendRaw(f.dataType, f.id, p[:n])
 		p, total = p[n:], total+n
 	}
 	return total, nil
--- a/thwire/send_queue.go
+++ b/thwire/send_queue.go
@@ -32,6 +32,11 @@
 func (q *sendQueue) add(encode func([]byte) ([]byte, error), later bool) (uint64, bool, error) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	return q.append(encode, later)
+}
+
+// append is add for a caller that holds the mutex.
+func (q *sendQueue) append(encode func([]byte) ([]byte, error), later bool) (uint64, bool, error) {
 	if q.closed || len(q.pending) > hardQueueLimit {
 		return q.queued, false, nil
 	}
@@ -48,14 +53,17 @@
 	return q.queued, true, nil
 }
 
-// waitBelowSoftLimit waits until the queue is within its soft limit or closed. It
-// returns the cause of ctx if that ends first.
-func (q *sendQueue) waitBelowSoftLimit(ctx context.Context) error {
+// addBelowSoftLimit appends frames like add once the queue is within its soft limit. The
+// writers that wait for that are woken together, so each one checks the limit again before it
+// appends: all of them at once would exceed the hard limit. The error is the cause of ctx if
+// that ends first.
+func (q *sendQueue) addBelowSoftLimit(ctx context.Context, encode func([]byte) ([]byte, error)) (bool, error) {
 	for {
 		q.mutex.Lock()
 		if q.closed || len(q.pending) <= softQueueLimit {
-			q.mutex.Unlock()
-			return nil
+			defer q.mutex.Unlock()
+			_, ok, err := q.append(encode, false)
+			return ok, err
 		}
 		if q.drained == nil {
 			q.drained = make(chan struct{})
@@ -65,7 +73,7 @@
 		select {
 		case <-c:
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return true, context.Cause(ctx)
 		}
 	}
 }
@@ -85,7 +93,7 @@
 	return b
 }
 
-// wakeWaiters wakes the writers in waitBelowSoftLimit. The mutex is held.
+// wakeWaiters wakes the writers in addBelowSoftLimit. The mutex is held.
 func (q *sendQueue) wakeWaiters() {
 	if q.drained != nil {
 		close(q.drained)
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -200,6 +200,17 @@
 	s.checkQueued(ok, err)
 }
 
+// sendData queues a raw frame once the send queue has room for it. The error is that of an
+// ended ctx.
+func (s *Session) sendData(ctx context.Context, t Type, id uint32, data []byte) error {
+	ok, err := s.out.addBelowSoftLimit(ctx, func(b []byte) ([]byte, error) { return AppendRaw(b, t, id, data) })
+	if err != nil && ctx.Err() != nil {
+		return contextError(ctx)
+	}
+	s.checkQueued(ok, err)
+	return nil
+}
+
 func (s *Session) checkQueued(ok bool, err error) {
 	if !ok {
 		s.fail(therror.New(therror.Broken, "peer reads too slowly or session is closed"))
--- a/thwire/session_test.go
+++ b/thwire/session_test.go
@@ -107,7 +107,7 @@
 			got, s, err := exchange(t.Context(), d, p.address, fmt.Sprint(i), body)
 			assert.Check(t, err)
 			assert.Check(t, bytes.Equal(got, body), "stream %d", i)
-			assert.Check(t, s != nil && s.Trailer()[0].Value == fmt.Sprint(len(body)))
+			assert.Check(t, s != nil && len(s.Trailer()) == 1 && s.Trailer()[0].Value == fmt.Sprint(len(body)))
 		})
 	}
 	group.Wait()
