Tell a restarted daemon the limit that its backend server states

What backend servers see: after a restart of the daemon beside them they get more calls than they state, until their first response.

Cause: calls of other ingresses name the limit that they know. Those of the restarted daemon's own callers name none, and its admission control takes as many as the server has slots. Shown by a test whose calls go to that daemon (ruled out as the source: other ingresses, TestStatedLimitIsKeptThroughRestart passes, 6 or 7 requests).

Change: a daemon that accepts a control connection first tells the peer which limit it knows of the instance beside it (ServerLimit). The limit holds until the first response, as the one named by calls.

TestStatedLimitBindsCallersOfRestartedDaemon, requests in 4 s, 17 allowed: 24, 27, 24 before, 8, 7, 8 after.

--- a/thadmit/statedlimit.go
+++ b/thadmit/statedlimit.go
@@ -49,9 +49,16 @@
 	s.admitQueued(now)
 }
 
-// adoptLimit adopts the limit that an ingress knows, in calls per second, until the first
-// response is observed: this daemon may have started after the backend server stated it.
-// The mutex is held.
+// AdoptLimit adopts the limit that another daemon knows, in calls per second, until the
+// first response is observed: this daemon may have started after the backend server stated
+// it. A limit of zero changes nothing.
+func (s *Scheduler) AdoptLimit(limit float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.adoptLimit(limit, thclock.OrSystem(s.Clock).Now())
+}
+
+// adoptLimit is AdoptLimit for a caller that holds the mutex.
 func (s *Scheduler) adoptLimit(limit float64, now time.Time) {
 	if s.stated.observed || limit <= 0 || s.stated.active && s.stated.rate <= limit {
 		return
--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -152,6 +152,18 @@
 	b.states = next
 }
 
+// StatedLimit returns the backend server instance of a member and the limit in calls per
+// second that it last stated; zero without one.
+func (b *Balancer) StatedLimit(member string) (instance string, rate float64) {
+	b.updateMutex.Lock()
+	defer b.updateMutex.Unlock()
+	s := b.states[member]
+	if s == nil {
+		return "", 0
+	}
+	return s.instance, s.statedRate()
+}
+
 // updateZoneRamps starts the ramps of zones that have returned to service. For a zone
 // that is seen for the first time, the ramp starts at Zone.Changed if that has passed.
 func (b *Balancer) updateZoneRamps(tables *thconfig.Tables, now time.Time) {
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -289,7 +289,9 @@
 
 // StatedRate returns the limit in calls per second that the backend server last stated;
 // zero without one.
-func (s *Server) StatedRate() float64 { return math.Float64frombits(s.rate.Load()) }
+func (s *Server) StatedRate() float64 { return s.statedRate() }
+
+func (s *state) statedRate() float64 { return math.Float64frombits(s.rate.Load()) }
 
 // capacity returns the advertised limit, or an estimate before the first response.
 func (s *Server) capacity() int64 {
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -59,6 +59,8 @@
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
 	d.node.Handle(thwire.TypeDeparture, departures.handleMessage)
+	d.node.Handle(thwire.TypeServerLimit, local.handleToldLimit)
+	d.node.Greeting = d.greeting
 	d.replica.Watch(func(*thsync.Snapshot) {
 		if e := registry.Current(); e != nil {
 			local.update(e)
@@ -78,6 +80,7 @@
 	instance   string
 	startTime  time.Time // of the instance
 	limitLog   limitLog
+	toldLimit  thwire.ServerLimit // lowest limit that other daemons have told of an instance
 }
 
 // coldRateFraction is the fraction of the additional rate allowed to a cold backend
@@ -93,6 +96,7 @@
 	if e.Instance != l.instance || !e.StartTime.Equal(l.startTime) {
 		l.instance, l.startTime = e.Instance, e.StartTime
 		l.scheduler.ResetPacing()
+		l.adoptToldLimit()
 	}
 	rate := 0.0
 	if s := l.replica.Current(); s != nil {
--- a/thmember/link.go
+++ b/thmember/link.go
@@ -110,11 +110,22 @@
 		// Counts as a first mismatch, so that differing checksums at the start of a
 		// connection lead to a summary without a recheck.
 		l.mismatches = 1
+		n.greet(l)
 		_ = l.conn.Send(thwire.TypeStateDigest, n.state.checksumWithCount())
 	}
 	return true
 }
 
+// greet sends the Greeting to a neighbour that has connected. The caller holds the mutex.
+func (n *Node) greet(l *link) {
+	if n.Greeting == nil || l.dialled {
+		return
+	}
+	if t, m := n.Greeting(l.name); m != nil {
+		_ = l.conn.Send(t, m) // a neighbour that misses it learns by a response
+	}
+}
+
 // memberSample returns the records of this daemon and of up to maxSampleMembers-1
 // other live members. A full daemon sends it to one whose connection it rejects:
 // otherwise daemons that start together with the same seeds would know no other
--- a/thmember/node.go
+++ b/thmember/node.go
@@ -67,6 +67,9 @@
 	Seed   uint64          // of the random number generator; 0 means a random seed
 	// Dial opens a control connection and sends the Hello; nil means thwire.Dial.
 	Dial func(context.Context, netip.AddrPort, thwire.Hello) (net.Conn, error)
+	// Greeting returns the first message to a neighbour whose connection has been accepted;
+	// a nil message sends none. It must not call the Node.
+	Greeting func(name string) (thwire.Type, thwire.Message)
 
 	view          atomic.Pointer[View]
 	handlers      map[thwire.Type]Handler
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -141,6 +141,21 @@
 // Guards against a burst of requests at a server with a limit after a restart of the
 // daemon beside it, which has forgotten the limit, while the other daemons know it.
 func TestStatedLimitIsKeptThroughRestart(t *testing.T) {
+	checkLimitThroughRestart(t, func(h *hostedFleet) []*hostedNode { return h.nodes[1:] })
+}
+
+// Guards against the same by the callers of the restarted daemon, whose calls name no limit.
+func TestStatedLimitBindsCallersOfRestartedDaemon(t *testing.T) {
+	checkLimitThroughRestart(t, func(h *hostedFleet) []*hostedNode {
+		return append([]*hostedNode{h.nodes[0], h.nodes[0], h.nodes[0], h.nodes[0]}, h.nodes...)
+	})
+}
+
+// checkLimitThroughRestart fails the test when the first server, which states a limit, gets
+// more requests than that after a restart of the daemon beside it. callers returns the nodes
+// that get calls, each as often as its share.
+func checkLimitThroughRestart(t *testing.T, callers func(*hostedFleet) []*hostedNode) {
+	t.Helper()
 	const limit, slots = 2, 24
 	h := &hostedFleet{t: t, size: 3, slots: slots, processingTime: 300 * time.Millisecond}
 	h.startNodes()
@@ -151,7 +166,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var traffic randomTraffic
-	traffic.start(ctx, h.nodes[1:], 170)
+	traffic.start(ctx, callers(h), 170)
 	binding := time.Now().Add(limitNotice)
 	time.Sleep(limitNotice + time.Second)
 	limited.daemon.Kill()
--- a/thwire/frame.go
+++ b/thwire/frame.go
@@ -41,6 +41,7 @@
 	TypeConfigHeadRequest Type = 25
 	TypeConfigHead        Type = 26
 	TypeDeparture         Type = 27
+	TypeServerLimit       Type = 28
 )
 
 // Sizes of a frame and its parts, in bytes.
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -250,6 +250,14 @@
 	Born     int64  `msg:"o"` // ms since 1970
 }
 
+// ServerLimit is the limit that a backend server instance has stated in its responses. A
+// daemon that connects gets it for the instance beside it, since it may have restarted after
+// the last response.
+type ServerLimit struct {
+	Instance string  `msg:"i"`
+	Rate     float64 `msg:"r"` // calls per second
+}
+
 // Report carries the call statistics of a target about a running move to the coordinator
 // of the move.
 type Report struct {
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -3059,6 +3059,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ServerLimit) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Instance)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendFloat64(o, z.Rate)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServerLimit) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "r":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ServerLimit) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *StateDigest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
