Keep the missing start time of a stored departure

What callers see: a healthy backend server is out of use for good after a restart of the daemon beside it. Somebody had sent a drain without `born` in its name, and the server's own heartbeats had superseded it.

Cause: the departure is stored without a start time. After the restart it was handled like a deregistration that arrives, which names no start time and binds all processes that started before.

Change: only a message gets the time of its arrival. A deregistration of the current instance gets the start time of that, so that its stored form names it.

TestDrainWithoutStartTimeDoesNotBindLaterProcesses failed before ("out of use: <nil>"), and passes.

--- a/thdaemon/departure_test.go
+++ b/thdaemon/departure_test.go
@@ -137,3 +137,28 @@
 	entry := registry.Current()
 	assert.Assert(t, entry.Instance != "i-2" || entry.Leaving, "in use again: %+v", entry)
 }
+
+// Guards against a healthy server that is out of use for good after a restart of its daemon: a
+// drain without a start time, of another writer, was stored and read as one of any process.
+func TestDrainWithoutStartTimeDoesNotBindLaterProcesses(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := &failingTable{}
+	address := netip.MustParseAddrPort("127.0.0.1:8084")
+	start := func() (*thserver.Registry, *departureRecorder) {
+		d := &Daemon{platform: &platform{Store: &thstore.Store{Table: table, Clock: clock}}, Clock: clock}
+		d.Log = hclog.NewNullLogger()
+		registry := &thserver.Registry{Address: address, Clock: clock}
+		return registry, &departureRecorder{Daemon: d, registry: registry}
+	}
+	heartbeat := thserver.Heartbeat{Instance: "i-1", Address: address, Service: "page", Version: "v1", Slots: 6, Sequence: 1, StartTime: clock.Now()}
+	odd := heartbeat
+	odd.StartTime, odd.Leaving = time.Time{}, true
+	clock.Advance(time.Minute)
+	registry, recorder := start()
+	assert.NilError(t, recorder.handleHeartbeat(odd))
+	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	assert.Assert(t, !registry.Current().Leaving)
+	registry, recorder = start()
+	assert.NilError(t, recorder.handleHeartbeat(heartbeat))
+	assert.Assert(t, registry.Current() != nil && !registry.Current().Leaving, "out of use: %+v", registry.Current())
+}
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -67,7 +67,7 @@
 	Log     hclog.Logger    // nil discards all lines
 
 	notifyMutex sync.Mutex // serialises callbacks, so that they see changes in order
-	mutex       sync.Mutex // guards current and left
+	mutex       sync.Mutex // guards the fields below
 	current     *Entry
 	left        map[string]time.Time // start times of instances that have left, by instance
 	watchers    []func(*Entry)
@@ -94,13 +94,20 @@
 	}
 	g.notifyMutex.Lock()
 	defer g.notifyMutex.Unlock()
+	g.update(g.withStartTime(h))
+	return nil
+}
+
+// update merges a heartbeat into the current entry and calls the callbacks. The caller holds
+// notifyMutex.
+func (g *Registry) update(h Heartbeat) {
 	g.mutex.Lock()
 	old := g.current
 	next := g.merge(h)
 	g.current = next
 	g.mutex.Unlock()
 	if next == old {
-		return nil
+		return
 	}
 	if old == nil || next == nil || old.Instance != next.Instance || old.Leaving != next.Leaving || old.Deregistered != next.Deregistered {
 		g.log().Info("backend server changed", "instance", h.Instance, "version", h.Version, "sequence", h.Sequence,
@@ -109,7 +116,6 @@
 	for _, f := range g.watchers {
 		f(next)
 	}
-	return nil
 }
 
 // Departure returns the start time of the latest process of an instance that is known to
@@ -144,12 +150,12 @@
 	}
 }
 
-// MarkLeft records an instance that left before this daemon started, so that its late
-// heartbeats are ignored.
+// MarkLeft records that the process of an instance with a start time left before this daemon
+// started, so that its late heartbeats are ignored.
 func (g *Registry) MarkLeft(instance string, start time.Time) {
-	if err := g.HandleHeartbeat(Heartbeat{Instance: instance, Deregistered: true, StartTime: start}); err != nil {
-		g.log().Warn("recording an instance that has left failed", "instance", instance, "error", err)
-	}
+	g.notifyMutex.Lock()
+	defer g.notifyMutex.Unlock()
+	g.update(Heartbeat{Instance: instance, Deregistered: true, StartTime: start})
 }
 
 func (g *Registry) log() hclog.Logger {
@@ -176,15 +182,12 @@
 	return nil
 }
 
-// merge returns the entry after a heartbeat, or the current one if the heartbeat is
-// outdated. The caller holds the mutex.
+// merge returns the entry after a heartbeat, or the current one if the heartbeat has no
+// effect on it. The caller holds the mutex.
 func (g *Registry) merge(h Heartbeat) *Entry {
 	now := thclock.OrSystem(g.Clock).Now()
 	c := g.current
 	same := c != nil && c.Instance == h.Instance
-	if !same {
-		h = h.withDepartureTime(now)
-	}
 	if g.hasLeft(h) {
 		h.Leaving = true
 		if !same {
@@ -194,9 +197,12 @@
 	if h.Deregistered || h.Leaving {
 		g.recordLeft(h)
 	}
+	outdated := c != nil && h.StartTime.Before(c.StartTime)
 	switch {
-	case h.Deregistered && (!same || !h.StartTime.IsZero() && h.StartTime.Before(c.StartTime)):
-		return c // deregistration of an earlier instance or process
+	case same && outdated && (h.Deregistered || h.Leaving):
+		return c
+	case h.Deregistered && !same:
+		return c // requests to the current instance name it
 	case h.Deregistered:
 		n := *c
 		n.Leaving, n.Deregistered, n.LastHeartbeat = true, true, now
@@ -207,8 +213,8 @@
 			return c.afterLate(h, now)
 		}
 		h.Leaving = h.Leaving || c.Leaving
-	case h.StartTime.Before(c.StartTime):
-		return c // heartbeat of an instance that started before the current one
+	case outdated:
+		return c
 	}
 	n := &Entry{Heartbeat: h, LastHeartbeat: now}
 	if h.ColdDuration > 0 {
@@ -234,12 +240,17 @@
 	return found && !h.StartTime.After(start) && !h.Deregistered
 }
 
-// withDepartureTime returns a deregistration that names no start time with that of its
-// arrival, so that it binds all processes that started before. Other heartbeats are
-// returned as they are.
-func (h Heartbeat) withDepartureTime(now time.Time) Heartbeat {
-	if h.Deregistered && h.StartTime.IsZero() {
-		h.StartTime = now
+// withStartTime returns a deregistration that names no start time with that of the current
+// process of its instance, or with that of its arrival, so that it binds all processes of
+// another instance that started before. Other heartbeats are returned as they are.
+func (g *Registry) withStartTime(h Heartbeat) Heartbeat {
+	if !h.Deregistered || !h.StartTime.IsZero() {
+		return h
+	}
+	if c := g.Current(); c != nil && c.Instance == h.Instance {
+		h.StartTime = c.StartTime
+	} else {
+		h.StartTime = thclock.OrSystem(g.Clock).Now()
 	}
 	return h
 }
