Acknowledge a drain only if it is in effect

What backend servers see: a drain or a deregistration is acknowledged, and calls go on. A heartbeat with a later start time, of another writer that fills all fields, had displaced the server's own; all its later messages were dropped as those of an earlier process, with status 200, for good. The same holds for a server that starts while the time of day is behind that of its predecessor.

Cause: a message without effect had no error, and a process that started before the current one could never become the current one again.

Change: a message of an earlier process gets 409 and the start time of the current one, unless it is a departure of another id: requests to the current instance name its id, so that departure binds. A process that started earlier replaces the current one once that has been silent for 5 s and the other one has sent three heartbeats in order since then. Late heartbeats of an ended process are not taken for that, as long as its departure is known or its successor is alive (TestEndedProcessDoesNotReturn).

Before: TestDrainWithoutEffectIsNotAcknowledged and TestLiveProcessReplacesSilentOne failed (no error).

--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -53,6 +53,15 @@
 	return s
 }
 
+// Conditions on which a process that started before the current one replaces it: the current
+// one has sent nothing for takeoverSilence, and the other has sent takeoverHeartbeats since
+// then. Heartbeats of an ended process arrive at most seconds late. A time of day that was
+// ahead, or another writer, may have made the start of the current one too late.
+const (
+	takeoverSilence    = 5 * time.Second
+	takeoverHeartbeats = 3
+)
+
 // maxLeftInstances is the number of stored instances that have left from which on
 // recordLeft removes earlier ones. A daemon has one backend server at a time.
 const maxLeftInstances = 64
@@ -69,10 +78,20 @@
 	notifyMutex sync.Mutex // serialises callbacks, so that they see changes in order
 	mutex       sync.Mutex // guards the fields below
 	current     *Entry
+	challenger  challenger
 	left        map[string]time.Time // start times of instances that have left, by instance
 	watchers    []func(*Entry)
 }
 
+// challenger is a process that started before the current one and sends heartbeats although
+// the current one is silent.
+type challenger struct {
+	instance   string
+	start      time.Time
+	sequence   uint64 // of the last heartbeat
+	heartbeats int    // in the order of their sequence
+}
+
 // Watch adds a callback for each new entry, including those that only update it.
 func (g *Registry) Watch(f func(*Entry)) { g.watchers = append(g.watchers, f) }
 
@@ -85,8 +104,9 @@
 
 // HandleHeartbeat merges a heartbeat into the current entry. It returns after all
 // callbacks have run, so that a deregistration is in effect once it is acknowledged.
-// Outdated heartbeats are ignored. The error is of kind Bad for an invalid heartbeat
-// or one that is not of the local backend server.
+// Late heartbeats of the current process are ignored. The error is of kind Bad for an
+// invalid heartbeat or one that is not of the local backend server, and Conflict for one
+// without effect, since a process that started later is the current one.
 func (g *Registry) HandleHeartbeat(h Heartbeat) error {
 	if err := g.validate(h); err != nil {
 		g.log().Warn("heartbeat rejected", "instance", h.Instance, "service", h.Service, "address", h.Address, "error", err)
@@ -94,20 +114,24 @@
 	}
 	g.notifyMutex.Lock()
 	defer g.notifyMutex.Unlock()
-	g.update(g.withStartTime(h))
-	return nil
+	err := g.update(g.withStartTime(h))
+	if err != nil {
+		g.log().Info("heartbeat without effect", "instance", h.Instance, "sequence", h.Sequence, "start", h.StartTime,
+			"leaving", h.Leaving, "gone", h.Deregistered, "error", err)
+	}
+	return err
 }
 
 // update merges a heartbeat into the current entry and calls the callbacks. The caller holds
 // notifyMutex.
-func (g *Registry) update(h Heartbeat) {
+func (g *Registry) update(h Heartbeat) error {
 	g.mutex.Lock()
 	old := g.current
-	next := g.merge(h)
+	next, err := g.merge(h)
 	g.current = next
 	g.mutex.Unlock()
 	if next == old {
-		return
+		return err
 	}
 	if old == nil || next == nil || old.Instance != next.Instance || old.Leaving != next.Leaving || old.Deregistered != next.Deregistered {
 		g.log().Info("backend server changed", "instance", h.Instance, "version", h.Version, "sequence", h.Sequence,
@@ -116,6 +140,7 @@
 	for _, f := range g.watchers {
 		f(next)
 	}
+	return err
 }
 
 // Departure returns the start time of the latest process of an instance that is known to
@@ -155,7 +180,9 @@
 func (g *Registry) MarkLeft(instance string, start time.Time) {
 	g.notifyMutex.Lock()
 	defer g.notifyMutex.Unlock()
-	g.update(Heartbeat{Instance: instance, Deregistered: true, StartTime: start})
+	if err := g.update(Heartbeat{Instance: instance, Deregistered: true, StartTime: start}); err != nil {
+		g.log().Debug("instance that has left is not the current one", "instance", instance, "error", err)
+	}
 }
 
 func (g *Registry) log() hclog.Logger {
@@ -183,15 +210,16 @@
 }
 
 // merge returns the entry after a heartbeat, or the current one if the heartbeat has no
-// effect on it. The caller holds the mutex.
-func (g *Registry) merge(h Heartbeat) *Entry {
+// effect on it. The error is of kind Conflict for a heartbeat that is outdated by a later
+// process. The caller holds the mutex.
+func (g *Registry) merge(h Heartbeat) (*Entry, error) {
 	now := thclock.OrSystem(g.Clock).Now()
 	c := g.current
 	same := c != nil && c.Instance == h.Instance
 	if g.hasLeft(h) {
 		h.Leaving = true
 		if !same {
-			return c
+			return c, nil
 		}
 	}
 	if h.Deregistered || h.Leaving {
@@ -200,27 +228,53 @@
 	outdated := c != nil && h.StartTime.Before(c.StartTime)
 	switch {
 	case same && outdated && (h.Deregistered || h.Leaving):
-		return c
+		return c, errOutdated(c)
 	case h.Deregistered && !same:
-		return c // requests to the current instance name it
+		return c, nil // requests to the current instance name it
 	case h.Deregistered:
 		n := *c
 		n.Leaving, n.Deregistered, n.LastHeartbeat = true, true, now
-		return &n
+		return &n, nil
 	case c == nil:
 	case same && h.StartTime.Equal(c.StartTime):
 		if h.Sequence <= c.Sequence {
-			return c.afterLate(h, now)
+			return c.afterLate(h, now), nil
 		}
 		h.Leaving = h.Leaving || c.Leaving
-	case outdated:
-		return c
+	case outdated && h.Leaving:
+		return c, nil
+	case outdated && !g.takesOver(h, now):
+		return c, errOutdated(c)
 	}
+	g.challenger = challenger{}
 	n := &Entry{Heartbeat: h, LastHeartbeat: now}
 	if h.ColdDuration > 0 {
 		n.ColdUntil = now.Add(h.ColdDuration)
 	}
-	return n
+	return n, nil
+}
+
+// errOutdated returns the error for a message of a process that started before the current one.
+func errOutdated(current *Entry) error {
+	return therror.New(therror.Conflict, "instance %q has started later, at %s", current.Instance, current.StartTime.UTC().Format(time.RFC3339Nano))
+}
+
+// takesOver counts a heartbeat of a process that started before the current one, and reports
+// whether the process replaces it. The caller holds the mutex.
+func (g *Registry) takesOver(h Heartbeat, now time.Time) bool {
+	o := &g.challenger
+	switch {
+	case now.Sub(g.current.LastHeartbeat) < takeoverSilence:
+		*o = challenger{}
+		return false
+	case o.instance != h.Instance || !o.start.Equal(h.StartTime):
+		*o = challenger{instance: h.Instance, start: h.StartTime}
+	case h.Sequence <= o.sequence:
+		return false
+	}
+	o.sequence = h.Sequence
+	o.heartbeats++
+	return o.heartbeats >= takeoverHeartbeats
 }
 
 // afterLate returns the entry after a late or repeated heartbeat of its process. A process
