Ignore member records with an invalid backend server

What callers see: calls to a backend server that names no service, no slots or a state that does not exist, if a record of another daemon says so.

Cause: the limits of a record covered lengths and numbers, not what is missing. The balancer uses every server that is not leaving.

Change: such a record is ignored as a whole, like one with a negative number. Lengths are defined once, in thwire.

TestOddServerIsNotUsed failed before (the odd record replaced the own one).

--- a/thmember/odd_test.go
+++ b/thmember/odd_test.go
@@ -60,3 +60,33 @@
 		})
 	}
 }
+
+// Guards against an odd record of a backend server that gets calls: one without a service, a
+// state or slots, or in a state that does not exist.
+func TestOddServerIsNotUsed(t *testing.T) {
+	own := thwire.Server{Service: "s", Version: "1", Slots: 4, State: thwire.ServerReady, Instance: "i-1"}
+	for name, change := range map[string]func(*thwire.Server){
+		"no service":       func(s *thwire.Server) { s.Service = "" },
+		"no state":         func(s *thwire.Server) { s.State = "" },
+		"unknown state":    func(s *thwire.Server) { s.State = "dancing" },
+		"no slots":         func(s *thwire.Server) { s.Slots = 0 },
+		"negative slots":   func(s *thwire.Server) { s.Slots = -1 },
+		"too many slots":   func(s *thwire.Server) { s.Slots = maxSlots + 1 },
+		"overlong service": func(s *thwire.Server) { s.Service = strings.Repeat("s", thwire.MaxNameBytes+1) },
+		"overlong version": func(s *thwire.Server) { s.Version = strings.Repeat("v", thwire.MaxNameBytes+1) },
+		"overlong id":      func(s *thwire.Server) { s.Instance = strings.Repeat("i", thwire.MaxInstanceBytes+1) },
+	} {
+		var s state
+		s.init()
+		m := thwire.Member{Name: "a", Incarnation: 1, Server: &own}
+		s.putMember(m, "", time.Unix(0, 0))
+		odd := own
+		change(&odd)
+		m.Sequence, m.Server = 1, &odd
+		s.putMember(m, "n", time.Unix(0, 0))
+		assert.DeepEqual(t, *s.members["a"].member.Server, own)
+		m.Name = "b"
+		s.putMember(m, "n", time.Unix(0, 0))
+		assert.Assert(t, s.members["b"] == nil, name)
+	}
+}
--- a/thmember/state.go
+++ b/thmember/state.go
@@ -12,14 +12,13 @@
 const (
 	maxMembers     = 4096
 	maxMoveStates  = 512
-	maxNameBytes   = 64  // of a name
+	maxNameBytes   = thwire.MaxNameBytes
 	maxReasonBytes = 200 // of the reason of a move's state
 
 	// Limits of a record. An owner could not publish a newer record than one above them.
 	maxIncarnation   = math.MaxInt64
 	maxSequence      = 1 << 62
 	maxSlots         = 1 << 20
-	maxInstanceBytes = 200
 )
 
 // deadRetention is how long a dead member is kept and dialled from time to time.
@@ -100,15 +99,23 @@
 	}
 }
 
-// isValid reports whether a record has a name, a known state, no overlong text and no number
-// out of range.
+// isValid reports whether a record has a name, a known state, no overlong text, no number
+// out of range and no invalid server.
 func isValid(m thwire.Member) bool {
-	if s := m.Server; s != nil && (len(s.Service) > maxNameBytes || len(s.Version) > maxNameBytes ||
-		len(s.Instance) > maxInstanceBytes || s.Slots < 0 || s.Slots > maxSlots) {
+	return (m.Server == nil || isValidServer(m.Server)) && m.Incarnation <= maxIncarnation && m.Sequence <= maxSequence && m.Name != "" && len(m.Name) <= maxNameBytes && len(m.Zone) <= maxNameBytes && len(m.Region) <= maxNameBytes &&
+		m.State >= thwire.MemberAlive && m.State <= thwire.MemberDead
+}
+
+// isValidServer reports whether a server has a service, a known state, slots, and no text or
+// number out of range. Another one would get calls.
+func isValidServer(s *thwire.Server) bool {
+	switch s.State {
+	case thwire.ServerStarting, thwire.ServerReady, thwire.ServerLeaving:
+	default:
 		return false
 	}
-	return m.Incarnation <= maxIncarnation && m.Sequence <= maxSequence && m.Name != "" && len(m.Name) <= maxNameBytes && len(m.Zone) <= maxNameBytes && len(m.Region) <= maxNameBytes &&
-		m.State >= thwire.MemberAlive && m.State <= thwire.MemberDead
+	return s.Service != "" && len(s.Service) <= maxNameBytes && len(s.Version) <= maxNameBytes &&
+		len(s.Instance) <= thwire.MaxInstanceBytes && s.Slots > 0 && s.Slots <= maxSlots
 }
 
 // isUrgent reports whether a change from old to m must not wait for minFlushInterval:
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -68,6 +68,12 @@
 	Blind       bool           `msg:"x"` // the daemon is disconnected from the configuration source
 }
 
+// Limits of the texts of a Member and its Server.
+const (
+	MaxNameBytes     = 64 // of the names of daemons, zones, regions, services and versions
+	MaxInstanceBytes = 200
+)
+
 // Server describes the local backend server of a daemon.
 type Server struct {
 	Service string `msg:"s"`
