--- a/thdaemon/departure.go
+++ b/thdaemon/departure.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thserver"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
@@ -27,6 +28,12 @@
 	lookedUp string           // instance of which a stored departure was read last
 }
 
+// countRejectedMessage counts and logs a message of a backend server that was rejected.
+func (d *Daemon) countRejectedMessage(err error) {
+	d.metrics.CountRejectedMessage(therror.KindOf(err))
+	d.Log.Warn("message of a backend server rejected", "error", err)
+}
+
 // handleHeartbeat handles a heartbeat. It stores the departure of an instance before
 // it acknowledges it. Before the first message of an instance it reads a stored departure,
 // because a heartbeat that was sent before the departure may arrive after a restart.
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -36,7 +36,7 @@
 	}
 	// The backend server sends heartbeats by itself and needs no monitor.
 	d.replica, d.gate, d.background = follower, schedulerGate{scheduler}, restored
-	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat), rowplatform.ReadinessHandler(d.notReadyReasons)
+	d.localHandler, d.readinessHandler = rowplatform.HeartbeatHandler(departures.handleHeartbeat, d.countRejectedMessage), rowplatform.ReadinessHandler(d.notReadyReasons)
 	d.mover.EndCommitter, d.mover.StartCommitter, d.mover.IsReader = reporter, reporter, follower.IsReader
 	d.target.Headers, d.transport.Headers = rowplatform.Headers(), rowplatform.Headers()
 	d.target.Server = func() (thwire.Server, netip.AddrPort, bool) {
--- a/thmetric/metrics.go
+++ b/thmetric/metrics.go
@@ -51,6 +51,7 @@
 	moves            *prometheus.GaugeVec
 	movesEnded       *prometheus.CounterVec
 	serverCrashes    *prometheus.CounterVec
+	rejectedMessages *prometheus.CounterVec
 	crashRequests    *prometheus.GaugeVec
 	gauges           map[string]prometheus.Gauge // without labels; for keys see gaugeNames
 
@@ -168,6 +169,12 @@
 	m.serverCrashes.WithLabelValues().Inc()
 }
 
+// CountRejectedMessage counts a message of a backend server that was rejected.
+func (m *Metrics) CountRejectedMessage(kind therror.Kind) {
+	m.once.Do(m.register)
+	m.rejectedMessages.WithLabelValues(string(kind)).Inc()
+}
+
 // SetCrashRequests sets the number of requests that may have crashed a backend server, and of
 // those that are quarantined.
 func (m *Metrics) SetCrashRequests(suspect, quarantined int) {
@@ -249,6 +256,10 @@
 	m.movesEnded.WithLabelValues("reverted")
 	m.serverCrashes = m.newCounter("server_crashes_total", "Crashes of the local backend server while it ran calls.")
 	m.serverCrashes.WithLabelValues()
+	m.rejectedMessages = m.newCounter("rejected_messages_total", "Heartbeats and deregistrations that were rejected.", "kind")
+	for _, k := range []therror.Kind{therror.Bad, therror.Conflict} {
+		m.rejectedMessages.WithLabelValues(string(k))
+	}
 	m.crashRequests = m.newGauge("crash_requests", "Requests that may have crashed a backend server, and quarantined ones.", "state")
 	m.gauges = map[string]prometheus.Gauge{}
 	for _, g := range [][2]string{
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -109,17 +109,11 @@
 // without effect, since a process that started later is the current one.
 func (g *Registry) HandleHeartbeat(h Heartbeat) error {
 	if err := g.validate(h); err != nil {
-		g.log().Warn("heartbeat rejected", "instance", h.Instance, "service", h.Service, "address", h.Address, "error", err)
 		return err
 	}
 	g.notifyMutex.Lock()
 	defer g.notifyMutex.Unlock()
-	err := g.update(g.withStartTime(h))
-	if err != nil {
-		g.log().Info("heartbeat without effect", "instance", h.Instance, "sequence", h.Sequence, "start", h.StartTime,
-			"leaving", h.Leaving, "gone", h.Deregistered, "error", err)
-	}
-	return err
+	return g.update(g.withStartTime(h))
 }
 
 // update merges a heartbeat into the current entry and calls the callbacks. The caller holds
@@ -195,14 +189,16 @@
 // validate returns an error of kind Bad for an invalid or foreign heartbeat.
 func (g *Registry) validate(h Heartbeat) error {
 	switch {
-	case h.Instance == "":
-		return therror.New(therror.Bad, "no instance")
+	case h.Instance == "" || len(h.Instance) > thwire.MaxInstanceBytes:
+		return therror.New(therror.Bad, "an instance needs an id of 1 to %d bytes", thwire.MaxInstanceBytes)
 	case h.Deregistered:
 		return nil
 	case g.Service != "" && h.Service != g.Service:
 		return therror.New(therror.Bad, "service %q is not that of this daemon's backend server", h.Service)
 	case !h.Address.IsValid() || g.Address.IsValid() && h.Address != g.Address:
 		return therror.New(therror.Bad, "address %s is not that of this daemon's backend server", h.Address)
+	case h.Service == "" || len(h.Service) > thwire.MaxNameBytes || len(h.Version) > thwire.MaxNameBytes:
+		return therror.New(therror.Bad, "service or version is empty or longer than %d bytes", thwire.MaxNameBytes)
 	case h.Version == "" || h.Slots < 1 || h.Slots > maxSlots:
 		return therror.New(therror.Bad, "version is missing or number of slots %d is out of range", h.Slots)
 	}
@@ -228,7 +224,7 @@
 	outdated := c != nil && h.StartTime.Before(c.StartTime)
 	switch {
 	case same && outdated && (h.Deregistered || h.Leaving):
-		return c, errOutdated(c)
+		return c, errOutdated(h, c)
 	case h.Deregistered && !same:
 		return c, nil // requests to the current instance name it
 	case h.Deregistered:
@@ -244,7 +240,7 @@
 	case outdated && h.Leaving:
 		return c, nil
 	case outdated && !g.takesOver(h, now):
-		return c, errOutdated(c)
+		return c, errOutdated(h, c)
 	}
 	g.challenger = challenger{}
 	n := &Entry{Heartbeat: h, LastHeartbeat: now}
@@ -255,10 +251,13 @@
 }
 
 // errOutdated returns the error for a message of a process that started before the current one.
-func errOutdated(current *Entry) error {
-	return therror.New(therror.Conflict, "instance %q has started later, at %s", current.Instance, current.StartTime.UTC().Format(time.RFC3339Nano))
+func errOutdated(h Heartbeat, current *Entry) error {
+	return therror.New(therror.Conflict, "instance %q started at %s, sequence %d: instance %q has started later, at %s, and was heard at %s",
+		h.Instance, formatTime(h.StartTime), h.Sequence, current.Instance, formatTime(current.StartTime), formatTime(current.LastHeartbeat))
 }
 
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
+
 // takesOver counts a heartbeat of a process that started before the current one, and reports
 // whether the process replaces it. The caller holds the mutex.
 func (g *Registry) takesOver(h Heartbeat, now time.Time) bool {
--- a/thserver/registry_test.go
+++ b/thserver/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,6 +85,8 @@
 		func(h *Heartbeat) { h.Slots = maxSlots + 1 },
 		func(h *Heartbeat) { h.Version = "" },
 		func(h *Heartbeat) { h.Instance = "" },
+		func(h *Heartbeat) { h.Instance = strings.Repeat("i", thwire.MaxInstanceBytes+1) },
+		func(h *Heartbeat) { h.Version = strings.Repeat("v", thwire.MaxNameBytes+1) },
 	} {
 		h := heartbeat("i-1", 1, firstStart)
 		change(&h)
