Measure durations by the monotonic clock in numbers too

A step back hides as many seconds of calls from the verdict on a version, and a step forwards returns ejected servers at once and empties the window of the retry budget.

Cause: times in atomics and time slots were ns since 1970, by the time of day. Values of time.Time carry a monotonic reading and were right.

Change: thclock.Stamp takes the monotonic reading of a time; it equals UnixNano for times without one. thwire, thmove, thbalance, thproxy, thsync and thdaemon use it. The slots of ProcessID stay: several daemons must agree on them.

Tests of thbalance compare with Stamp instead of UnixNano, as exactly as before. merge of the registry is split in three for the linter, without a change.

--- a/thbalance/balancer_test.go
+++ b/thbalance/balancer_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -160,7 +161,7 @@
 	for _, want := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
 		x.Begin()
 		x.Done(Result{Status: 500})
-		assert.Equal(t, x.ejectedUntil.Load()-c.Now().UnixNano(), int64(want*time.Second))
+		assert.Equal(t, x.ejectedUntil.Load()-thclock.Stamp(c.Now()), int64(want*time.Second))
 		for range 50 {
 			s, err := b.Choose("p", nil)
 			assert.NilError(t, err)
--- a/thbalance/eject_test.go
+++ b/thbalance/eject_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -33,7 +34,7 @@
 			}
 			s.Begin()
 			s.Done(Result{Status: status, Latency: 20 * time.Millisecond})
-			if s.ejectedUntil.Load() > clock.Now().UnixNano() {
+			if s.ejectedUntil.Load() > thclock.Stamp(clock.Now()) {
 				out[n] = true
 			}
 		}
@@ -79,6 +80,6 @@
 		}
 		clock.Advance(deadline / 2)
 		s.Done(Result{Kind: therror.Late, Latency: deadline})
-		assert.Equal(t, s.ejectedUntil.Load() > clock.Now().UnixNano(), !responds)
+		assert.Equal(t, s.ejectedUntil.Load() > thclock.Stamp(clock.Now()), !responds)
 	}
 }
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -64,7 +64,7 @@
 	queued        atomic.Int64
 	cold          atomic.Bool
 	rate          atomic.Uint64 // bits of the calls per second that the server states as its limit; zero without one
-	loadTime      atomic.Int64  // time of the advertised load
+	loadTime      atomic.Int64  // of the advertised load; this and the other times are by thclock.Stamp
 	avoidedUntil  atomic.Int64
 	ejectedUntil  atomic.Int64
 	ejections     atomic.Int64 // consecutive ejections
@@ -137,7 +137,7 @@
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
 		s.rate.Store(math.Float64bits(r.Load.Rate))
-		s.loadTime.Store(now.UnixNano())
+		s.loadTime.Store(thclock.Stamp(now))
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
 	switch r.Kind {
@@ -147,7 +147,7 @@
 			return
 		}
 		s.errors.Store(0)
-		s.lastSuccess.Store(now.UnixNano())
+		s.lastSuccess.Store(thclock.Stamp(now))
 		s.updateErrorRate(now, 0)
 	case therror.Full:
 		s.avoidUntil(now.Add(avoidance(r.RetryAfter, defaultFullAvoidance)))
@@ -164,7 +164,7 @@
 		}
 	case therror.Late:
 		// A server that has responded to another call since this one started doesn't hang.
-		if r.Latency >= minHangLatency && s.lastSuccess.Load() < now.Add(-r.Latency).UnixNano() {
+		if r.Latency >= minHangLatency && s.lastSuccess.Load() < thclock.Stamp(now.Add(-r.Latency)) {
 			s.eject(now)
 			return
 		}
@@ -184,7 +184,7 @@
 
 // avoidUntil extends the avoidance of the server to t; it never shortens it.
 func (s *state) avoidUntil(t time.Time) {
-	n := t.UnixNano()
+	n := thclock.Stamp(t)
 	for {
 		old := s.avoidedUntil.Load()
 		if old >= n || s.avoidedUntil.CompareAndSwap(old, n) {
@@ -207,7 +207,7 @@
 func (s *Server) updateErrorRate(now time.Time, result int64) {
 	old := s.errorRate.Load()
 	s.errorRate.Store(old + (result-old)/errorRateSmoothing)
-	s.errorRateTime.Store(now.UnixNano())
+	s.errorRateTime.Store(thclock.Stamp(now))
 }
 
 // othersErrorRate returns the mean error rate, 0 to 1, of the other servers of the
@@ -215,7 +215,7 @@
 func (p *pool) othersErrorRate(except *Server, now time.Time) float64 {
 	sum, n := int64(0), int64(0)
 	for _, s := range p.servers {
-		if s.state != except.state && now.UnixNano()-s.errorRateTime.Load() < int64(maxErrorRateAge) {
+		if s.state != except.state && thclock.Stamp(now)-s.errorRateTime.Load() < int64(maxErrorRateAge) {
 			sum += s.errorRate.Load()
 			n++
 		}
@@ -233,7 +233,7 @@
 	p := s.pool
 	p.ejectMutex.Lock()
 	defer p.ejectMutex.Unlock()
-	at := now.UnixNano()
+	at := thclock.Stamp(now)
 	if s.ejectedUntil.Load() > at {
 		return // the call started before the ejection
 	}
@@ -270,7 +270,7 @@
 	if len(exclude) > 0 && slices.Contains(exclude, s.Member.Name) {
 		return classExcluded
 	}
-	at := now.UnixNano()
+	at := thclock.Stamp(now)
 	switch {
 	case s.ejectedUntil.Load() > at:
 		return classEjected
@@ -324,14 +324,14 @@
 	if threshold == 0 {
 		threshold = defaultSpillThreshold
 	}
-	return float64(s.inUse(now.UnixNano())) < threshold*float64(s.capacity())
+	return float64(s.inUse(thclock.Stamp(now))) < threshold*float64(s.capacity())
 }
 
 // score returns the weighted load by which candidates are compared; lower is better.
 // The new call is included, so that an idle server with few slots isn't equal to an
 // idle server with many.
 func (s *Server) score(now time.Time) float64 {
-	load := float64(s.inflight.Load()+s.advertisedLoad(now.UnixNano())+1) / float64(s.capacity())
+	load := float64(s.inflight.Load()+s.advertisedLoad(thclock.Stamp(now))+1) / float64(s.capacity())
 	if r := s.relativeTime.Load(); r > 0 {
 		return s.distanceFactor * (baseScore + load) * float64(r) / relativeTimeUnit
 	}
@@ -373,7 +373,7 @@
 			Limit: int(s.limit.Load()), Active: int(s.active.Load()),
 			Queued: int(s.queued.Load()), Cold: s.cold.Load(), Rate: s.StatedRate(),
 		},
-		Ejected: max(0, time.Duration(s.ejectedUntil.Load()-now.UnixNano())),
-		Avoided: max(0, time.Duration(s.avoidedUntil.Load()-now.UnixNano())),
+		Ejected: max(0, time.Duration(s.ejectedUntil.Load()-thclock.Stamp(now))),
+		Avoided: max(0, time.Duration(s.avoidedUntil.Load()-thclock.Stamp(now))),
 	}
 }
--- a/thclock/clock.go
+++ b/thclock/clock.go
@@ -1,7 +1,12 @@
-// Package thclock provides the default for optional clocks.
+// Package thclock provides the default for optional clocks, and the time that passes
+// whatever happens to the time of day.
 package thclock
 
-import "github.com/jonboulle/clockwork"
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
 
 var system = clockwork.NewRealClock()
 
@@ -13,3 +18,16 @@
 	}
 	return c
 }
+
+// base is a time with a monotonic reading.
+var base = time.Now()
+
+// Stamp returns t as a number for atomics and time slots, in ns. The difference of two stamps
+// is the time that has passed between them: unlike UnixNano, a stamp doesn't follow a step of
+// the time of day. Stamps of other processes can't be compared with it. A time without a
+// monotonic reading, such as one received or one of clockwork's fake clock, counts by its
+// time of day.
+func Stamp(t time.Time) int64 { return base.UnixNano() + int64(t.Sub(base)) }
+
+// Since returns the time that has passed from a stamp to now.
+func Since(stamp int64, now time.Time) time.Duration { return time.Duration(Stamp(now) - stamp) }
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -81,7 +81,7 @@
 	departed         departedInstances
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
-	endsAt           atomic.Int64 // when a stopping daemon ends, in ns since 1970; zero until the end of the notice
+	endsAt           atomic.Int64 // thclock.Stamp of when a stopping daemon ends; zero until the end of the notice
 	zoneOut          atomic.Bool
 	failed           chan error
 	work             sync.WaitGroup
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thproxy"
 	"github.com/turmerichaven/turmerichaven/thsettings"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -90,7 +91,7 @@
 	if end == 0 {
 		return 0, false
 	}
-	return time.Unix(0, end).Sub(d.Clock.Now()), true
+	return -thclock.Since(end, d.Clock.Now()), true
 }
 
 // stop drains the daemon: it notifies the fleet, waits for the notice to spread,
@@ -104,7 +105,7 @@
 	// A store that does not respond must not shorten the time for the calls.
 	d.work.Go(func() { d.announcer.withdraw(ctx) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
-	d.endsAt.Store(d.Clock.Now().Add(gracePeriod(d.Settings.Stop)).UnixNano())
+	d.endsAt.Store(thclock.Stamp(d.Clock.Now().Add(gracePeriod(d.Settings.Stop))))
 	ctx, cancel := context.WithTimeout(ctx, gracePeriod(d.Settings.Stop))
 	defer cancel()
 	if err := errors.Join(d.ingressServer.Shutdown(ctx), d.http2Server.Shutdown(ctx)); err != nil {
--- a/thhttp/connection.go
+++ b/thhttp/connection.go
@@ -28,7 +28,7 @@
 )
 
 // pastDeadline is a read deadline that interrupts a blocked read.
-var pastDeadline = time.Unix(1, 0)
+var pastDeadline = time.Unix(1, 0) //nolint:forbidigo // not a duration
 
 // The states of the goroutine that reads a connection.
 const (
--- a/thmember/node.go
+++ b/thmember/node.go
@@ -124,7 +124,7 @@
 		n.Seed = rand.Uint64()
 	}
 	if n.Member.Incarnation == 0 {
-		n.Member.Incarnation = uint64(n.Clock.Now().UnixNano())
+		n.Member.Incarnation = uint64(n.Clock.Now().UnixNano()) //nolint:forbidigo // orders processes
 	}
 	n.mu.Lock()
 	n.random = rand.New(rand.NewPCG(n.Seed, 0))
--- a/thmember/state.go
+++ b/thmember/state.go
@@ -16,9 +16,9 @@
 	maxReasonBytes = 200 // of the reason of a move's state
 
 	// Limits of a record. An owner could not publish a newer record than one above them.
-	maxIncarnation   = math.MaxInt64
-	maxSequence      = 1 << 62
-	maxSlots         = 1 << 20
+	maxIncarnation = math.MaxInt64
+	maxSequence    = 1 << 62
+	maxSlots       = 1 << 20
 )
 
 // deadRetention is how long a dead member is kept and dialled from time to time.
--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -56,8 +57,8 @@
 	}
 	for _, w := range windows[:lastWindow] {
 		result := judge(t.ingressCounts(now, w, v.excluded), t.move.From, t.move.To, v.groupings(), &t.localBaseline, t.schedule.samples())
-		if result.bad && now.UnixNano() >= t.suspendedUntil.Load() {
-			t.suspendedUntil.Store(now.Add(suspension).UnixNano())
+		if result.bad && !t.isSuspended(now) {
+			t.suspendedUntil.Store(thclock.Stamp(now.Add(suspension)))
 			m.Log.Warn("new version suspended on this daemon", "move", t.move.Name, "reason", result.reason)
 		}
 	}
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -332,7 +332,7 @@
 			Step:      t.currentStep().number,
 			Share:     t.share(now),
 			Bad:       t.bad.Load(),
-			Suspended: now.UnixNano() < t.suspendedUntil.Load(),
+			Suspended: t.isSuspended(now),
 			Overdue:   t.end.Load() == nil && now.After(t.schedule.deadline),
 			End:       t.committedEnd(),
 			Reason:    reason,
--- a/thmove/served.go
+++ b/thmove/served.go
@@ -145,7 +145,7 @@
 		var ages [latencyBuckets]uint64
 		copy(ages[:], n.Unfinished)
 		for c := range route.running {
-			if c.timed && inWindow(c.begin.UnixNano()/int64(slotDuration), now, window) {
+			if c.timed && inWindow(slotNumber(c.begin), now, window) {
 				ages[latencyBucket(now.Sub(c.begin))]++
 			}
 		}
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thwire"
@@ -29,7 +30,7 @@
 	step            atomic.Pointer[moveStep]
 	bad             atomic.Bool            // the coordinator found the new version bad
 	end             atomic.Pointer[string] // committed final state, nil while the move is running
-	suspendedUntil  atomic.Int64           // ns since 1970; set when the local statistics are bad
+	suspendedUntil  atomic.Int64           // thclock.Stamp; set when the local statistics are bad
 	alone           atomic.Bool            // the new version is in service and the only one with backend servers
 	ingressCounters sync.Map               // counterKey to *slidingCounter: calls sent by this daemon
 	served          [2]servedCalls         // calls served by the local backend server, in pools From and To
@@ -145,12 +146,18 @@
 	if t.alone.Load() {
 		return 1
 	}
-	if t.bad.Load() || now.UnixNano() < t.suspendedUntil.Load() || now.Before(t.move.Start) {
+	if t.bad.Load() || t.isSuspended(now) || now.Before(t.move.Start) {
 		return 0
 	}
 	return t.currentStep().share(now)
 }
 
+// isSuspended reports whether this daemon sends no calls to the new version, since it is bad
+// by the local statistics.
+func (t *track) isSuspended(now time.Time) bool {
+	return thclock.Stamp(now) < t.suspendedUntil.Load()
+}
+
 // servedCalls returns the statistics of one of the move's two pools, nil for other pools.
 func (t *track) servedCalls(pool string) *servedCalls {
 	switch pool {
--- a/thmove/window.go
+++ b/thmove/window.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -57,7 +58,7 @@
 }
 
 type counterSlot struct {
-	epoch     atomic.Int64  // slot number since 1970; tells whether the counts are current
+	epoch     atomic.Int64  // slot number; tells whether the counts are current
 	responses atomic.Uint64 // failures included
 	errors    atomic.Uint64
 	latency   [latencyBuckets]atomic.Uint64
@@ -87,10 +88,13 @@
 	}
 }
 
+// slotNumber returns the number of the slot of a time on this daemon.
+func slotNumber(at time.Time) int64 { return thclock.Stamp(at) / int64(slotDuration) }
+
 // slot returns the slot of a time, cleared if it held older counts. It returns nil if the
 // slot already holds newer ones.
 func (c *slidingCounter) slot(at time.Time) *counterSlot {
-	epoch := at.UnixNano() / int64(slotDuration)
+	epoch := slotNumber(at)
 	s := &c.slots[epoch%int64(slotCount)]
 	old := s.epoch.Load()
 	if old > epoch {
@@ -129,7 +133,7 @@
 
 // inWindow reports whether a slot belongs to the window that ends at now.
 func inWindow(epoch int64, now time.Time, window time.Duration) bool {
-	last := now.UnixNano() / int64(slotDuration)
+	last := slotNumber(now)
 	return epoch <= last && epoch > last-int64(window/slotDuration)
 }
 
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -103,7 +103,7 @@
 	}
 	b.stream.currentAttempt.Store(-1)
 	if !b.stream.done() {
-		_ = b.control.SetReadDeadline(time.Unix(1, 0))
+		_ = b.control.SetReadDeadline(time.Unix(1, 0)) //nolint:forbidigo // not a duration
 	}
 	b.copiers.Wait()
 	// The transport of a local target may still be reading the body.
--- a/thproxy/sharedbudget.go
+++ b/thproxy/sharedbudget.go
@@ -44,7 +44,7 @@
 // poolCounts holds the counts of a pool by time slot. The arrays are ring buffers.
 type poolCounts struct {
 	requests, retries [windowSlots]int
-	slot              int64 // latest time slot, counted from 1970
+	slot              int64 // latest time slot, by thclock.Stamp
 }
 
 func (c *poolCounts) advance(slot int64) {
@@ -63,7 +63,7 @@
 		c = &poolCounts{}
 		b.pools[pool] = c
 	}
-	c.advance(thclock.OrSystem(b.Clock).Now().UnixNano() / int64(b.Window/windowSlots))
+	c.advance(thclock.Stamp(thclock.OrSystem(b.Clock).Now()) / int64(b.Window/windowSlots))
 	return c
 }
 
--- a/thserver/registry.go
+++ b/thserver/registry.go
@@ -221,33 +221,56 @@
 	if h.Deregistered || h.Leaving {
 		g.recordLeft(h)
 	}
-	outdated := c != nil && h.StartTime.Before(c.StartTime)
 	switch {
-	case same && outdated && (h.Deregistered || h.Leaving):
+	case c != nil && same:
+		return g.mergeSame(h, now)
+	case c != nil:
+		return g.mergeOther(h, now)
+	case h.Deregistered:
+		return nil, nil //nolint:nilnil // no server and no error
+	}
+	return g.replace(h, now), nil
+}
+
+// mergeSame is merge for the instance of the current entry.
+func (g *Registry) mergeSame(h Heartbeat, now time.Time) (*Entry, error) {
+	c := g.current
+	switch {
+	case h.StartTime.Before(c.StartTime) && (h.Deregistered || h.Leaving || !g.takesOver(h, now)):
 		return c, errOutdated(h, c)
-	case h.Deregistered && !same:
-		return c, nil // requests to the current instance name it
 	case h.Deregistered:
 		n := *c
 		n.Leaving, n.Deregistered, n.LastHeartbeat = true, true, now
 		return &n, nil
-	case c == nil:
-	case same && h.StartTime.Equal(c.StartTime):
-		if h.Sequence <= c.Sequence {
-			return c.afterLate(h, now), nil
-		}
+	case h.StartTime.Equal(c.StartTime) && h.Sequence <= c.Sequence:
+		return c.afterLate(h, now), nil
+	case h.StartTime.Equal(c.StartTime):
 		h.Leaving = h.Leaving || c.Leaving
-	case outdated && h.Leaving:
-		return c, nil
+	}
+	return g.replace(h, now), nil
+}
+
+// mergeOther is merge for another instance than that of the current entry.
+func (g *Registry) mergeOther(h Heartbeat, now time.Time) (*Entry, error) {
+	c := g.current
+	outdated := h.StartTime.Before(c.StartTime)
+	switch {
+	case h.Deregistered || h.Leaving && outdated:
+		return c, nil // in effect: requests to the current instance name it
 	case outdated && !g.takesOver(h, now):
 		return c, errOutdated(h, c)
 	}
+	return g.replace(h, now), nil
+}
+
+// replace returns the entry of a process that becomes or stays the current one.
+func (g *Registry) replace(h Heartbeat, now time.Time) *Entry {
 	g.challenger = challenger{}
 	n := &Entry{Heartbeat: h, LastHeartbeat: now}
 	if h.ColdDuration > 0 {
 		n.ColdUntil = now.Add(h.ColdDuration)
 	}
-	return n, nil
+	return n
 }
 
 // errOutdated returns the error for a message of a process that started before the current one.
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -64,7 +64,7 @@
 	settledGeneration uint64        // generation of the source of which orders may take effect; used by readSource only
 	sourceLost        atomic.Bool   // the last request to the source failed
 	needsPeerTables   atomic.Bool   // this daemon starts and waits for the tables of another one
-	replacedSince     atomic.Int64  // when other daemons took over reading, in ns since 1970; zero if they have not
+	replacedSince     atomic.Int64  // thclock.Stamp of when other daemons took over reading; zero if they have not
 	cutOff            atomic.Bool   // no member answers from which this daemon would learn of changes
 	readOnce          atomic.Bool   // read the source once even if this daemon is not a reader
 	wakeReader        chan struct{} // wakes readSource when this daemon is a reader or has to read once
@@ -475,7 +475,7 @@
 		f.Peers.SetSourceDisconnected(false)
 		return
 	}
-	if f.replacedSince.CompareAndSwap(0, f.Clock.Now().UnixNano()) {
+	if f.replacedSince.CompareAndSwap(0, thclock.Stamp(f.Clock.Now())) {
 		f.Log.Warn("others read the configuration source in place of this daemon", "version", thconfig.VersionText(f.version()))
 		f.Peers.SetSourceDisconnected(true)
 	}
@@ -485,7 +485,7 @@
 // other daemons have taken over.
 func (f *Follower) endCooldown() {
 	since := f.replacedSince.Load()
-	if since != 0 && f.Clock.Now().UnixNano()-since >= int64(readerCooldown) && f.replacedSince.CompareAndSwap(since, 0) {
+	if since != 0 && thclock.Since(since, f.Clock.Now()) >= readerCooldown && f.replacedSince.CompareAndSwap(since, 0) {
 		f.Peers.SetSourceDisconnected(false)
 	}
 }
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -35,7 +35,7 @@
 	out           *sendQueue
 	limit         *BufferLimit // nil means maxBufferedBytes
 	buffered      atomic.Int64 // bytes received but not read, over all streams
-	lastRead      atomic.Int64 // time of the last frame from the peer, in ns since 1970
+	lastRead      atomic.Int64 // thclock.Stamp of the last frame from the peer
 	peerGoingAway atomic.Bool  // the peer accepts no new streams
 	goingAway     atomic.Bool  // this side accepts no new streams
 	started       time.Time    // of the session
@@ -82,7 +82,7 @@
 	}
 	s.idleSince = s.clock.Now()
 	s.started = s.idleSince
-	s.lastRead.Store(s.idleSince.UnixNano())
+	s.lastRead.Store(thclock.Stamp(s.idleSince))
 	if limit != nil {
 		limit.add(s)
 	}
@@ -244,7 +244,7 @@
 	for {
 		t, payload, err := readFrame(r, &buffer)
 		if err == nil {
-			s.lastRead.Store(s.clock.Now().UnixNano())
+			s.lastRead.Store(thclock.Stamp(s.clock.Now()))
 			s.pinged.Store(0)
 			err = s.dispatch(t, payload)
 		}
--- a/thwire/silence.go
+++ b/thwire/silence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/therror"
 )
 
@@ -41,10 +42,10 @@
 		}
 		now := s.clock.Now()
 		if !active { // the silence of an idle session doesn't count
-			s.lastRead.Store(max(s.lastRead.Load(), now.UnixNano()))
+			s.lastRead.Store(max(s.lastRead.Load(), thclock.Stamp(now)))
 			active = true
 		}
-		silence := now.Sub(time.Unix(0, s.lastRead.Load()))
+		silence := thclock.Since(s.lastRead.Load(), now)
 		if silence > silenceTimeout {
 			s.handleSilence(therror.New(therror.Broken, "peer silent for %s", silence))
 			continue
@@ -67,7 +68,7 @@
 	if pinged := time.Duration(s.pinged.Load()); pinged > 0 {
 		return elapsed-pinged < stallTimeout
 	}
-	if now.Sub(time.Unix(0, s.lastRead.Load())) >= stallPingDelay && s.pinged.CompareAndSwap(0, int64(max(elapsed, 1))) {
+	if thclock.Since(s.lastRead.Load(), now) >= stallPingDelay && s.pinged.CompareAndSwap(0, int64(max(elapsed, 1))) {
 		_ = s.sendLater(TypePing, Ping{})
 	}
 	return true
