Cancel dials in progress when a daemon stops

What the platform sees: a daemon that has ended all its calls is still there for up to a second, since a dial to a machine that is cut off is in progress.

Cause: Dialer.Close waited for dials, which have a timeout of a second.

Change: Close cancels them. TestCloseCancelsDialsInProgress failed before (the dial ended by its timeout after 1.00 s).

--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -40,10 +40,12 @@
 	Sessions int
 	Buffers  *BufferLimit // of the sessions; nil limits each by itself
 
-	mutex  sync.Mutex
-	peers  map[netip.AddrPort]*peer
-	closed bool
-	dials  sync.WaitGroup
+	mutex       sync.Mutex
+	peers       map[netip.AddrPort]*peer
+	closed      bool
+	dials       sync.WaitGroup
+	dialContext context.Context    // of the dials; nil before the first one
+	cancelDials context.CancelFunc // nil before the first dial
 }
 
 // peer is the dial state of an address. The mutex of the Dialer guards it.
@@ -109,8 +111,7 @@
 	p.leavingUntil, p.nextDial, p.backoff = time.Time{}, time.Time{}, 0
 }
 
-// Close waits for the dials in progress, then closes all sessions and waits for their
-// goroutines.
+// Close cancels the dials in progress, closes all sessions and waits for their goroutines.
 func (d *Dialer) Close() {
 	d.mutex.Lock()
 	d.closed = true
@@ -118,7 +119,11 @@
 	for _, p := range d.peers {
 		sessions = append(sessions, p.sessions...)
 	}
+	cancelDials := d.cancelDials
 	d.mutex.Unlock()
+	if cancelDials != nil {
+		cancelDials()
+	}
 	d.dials.Wait()
 	for _, s := range sessions {
 		s.Close()
@@ -195,7 +200,11 @@
 	}
 	if len(p.sessions) < maxSessions && p.dialing == nil && !now.Before(p.nextDial) {
 		p.dialing = make(chan struct{})
-		d.dials.Go(func() { d.dial(address, p) })
+		if d.dialContext == nil {
+			d.dialContext, d.cancelDials = context.WithCancel(context.Background())
+		}
+		ctx := d.dialContext
+		d.dials.Go(func() { d.dial(ctx, address, p) })
 	}
 	var leastLoaded *Session
 	streams := 0
@@ -213,8 +222,8 @@
 	return nil, nil, therror.Wrap(therror.Down, p.dialError, "peer %s, next dial in %s", address, p.nextDial.Sub(now)).WithRetryAfter(p.nextDial.Sub(now))
 }
 
-func (d *Dialer) dial(address netip.AddrPort, p *peer) {
-	s, err := d.connect(address)
+func (d *Dialer) dial(ctx context.Context, address netip.AddrPort, p *peer) {
+	s, err := d.connect(ctx, address)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	close(p.dialing)
@@ -234,8 +243,8 @@
 	go s.closeAfter(idleTimeout)
 }
 
-func (d *Dialer) connect(address netip.AddrPort) (*Session, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+func (d *Dialer) connect(ctx context.Context, address netip.AddrPort) (*Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dial := d.Dial
 	if dial == nil {
--- a/thwire/dialer_test.go
+++ b/thwire/dialer_test.go
@@ -157,3 +157,24 @@
 	_, err = d.Open(ctx, address, Open{Ended: true})
 	assert.NilError(t, err)
 }
+
+// Guards against a stop that waits for a dial to a peer that doesn't answer, until the
+// platform kills the process.
+func TestCloseCancelsDialsInProgress(t *testing.T) {
+	dialling, ended := make(chan struct{}), make(chan error, 1)
+	d := &Dialer{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		close(dialling)
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		return nil, ctx.Err()
+	}}
+	opened := make(chan error, 1)
+	go func() {
+		_, err := d.Open(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), Open{})
+		opened <- err
+	}()
+	<-dialling
+	d.Close()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	assert.Assert(t, <-opened != nil)
+}
