Catch SIGHUP before the settings are read

What the platform sees: a daemon that gets SIGHUP while it reads its settings ends. A SIGHUP tells that the settings have changed, so it may come with a start.

Cause: the handler was set when the components were built.

Change: the daemon command sets it before it reads the settings; a signal of that time reads them again. The first milliseconds of the Go runtime remain.

--- a/thcommand/status.go
+++ b/thcommand/status.go
@@ -1,8 +1,11 @@
 package thcommand
 
 import (
+	"os"
+	"os/signal"
 	"runtime"
 	"strings"
+	"syscall"
 
 	"github.com/turmerichaven/turmerichaven/thadmin"
 	"github.com/turmerichaven/turmerichaven/thconfig"
@@ -101,13 +104,16 @@
 
 type daemonCommand struct{ session *session }
 
-// Execute loads the settings and runs the daemon until the context ends.
+// Execute loads the settings and runs the daemon until the context ends. SIGHUP is caught
+// before, since its default action would end the process.
 func (c *daemonCommand) Execute([]string) error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	v, err := c.session.loadSettings(thsettings.RoleDaemon)
 	if err != nil {
 		return err
 	}
-	return RunDaemon(c.session.ctx, v, c.session.options.Settings)
+	return RunDaemon(c.session.ctx, v, c.session.options.Settings, reloads)
 }
 
 type settingsCheck struct {
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -46,7 +46,8 @@
 // Daemon is one daemon. Set the exported fields before Run.
 type Daemon struct {
 	Settings     thsettings.Settings
-	SettingsFile string // read again on SIGHUP; empty without a file
+	SettingsFile string // read again on a signal of Reloads; empty without a file
+	Reloads      <-chan os.Signal
 	Clock        clockwork.Clock
 	Log          hclog.Logger
 
@@ -107,14 +108,14 @@
 }
 
 // Run runs a daemon until ctx ends, then stops it gracefully. The settings were
-// read from file, which is read again on SIGHUP.
-func Run(ctx context.Context, s thsettings.Settings, file string) error {
+// read from file, which is read again on each signal of reloads.
+func Run(ctx context.Context, s thsettings.Settings, file string, reloads <-chan os.Signal) error {
 	tuneMemory(s.Memory)
 	out := &thlog.Writer{Out: os.Stdout}
 	defer out.Close(logFlushTimeout)
 	log := hclog.New(&hclog.LoggerOptions{Name: "turmerichaven", Level: hclog.LevelFromString(s.Log.Level), Output: out})
 	d := &Daemon{Settings: s, Log: log.With("daemon", s.Daemon.Name, "zone", s.Daemon.Zone)}
-	d.SettingsFile = file
+	d.SettingsFile, d.Reloads = file, reloads
 	return d.Run(ctx)
 }
 
@@ -128,7 +129,7 @@
 	d.started = d.Clock.Now()
 	reloadCtx, cancelReload := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelReload()
-	d.watchSignals(reloadCtx)
+	go d.watchReloads(reloadCtx)
 	d.failed = make(chan error, 8)
 	d.build()
 	componentsCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/thdaemon/reload.go
+++ b/thdaemon/reload.go
@@ -2,33 +2,25 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/turmerichaven/turmerichaven/thsettings"
 )
 
-// watchSignals reloads the settings on each SIGHUP until ctx ends. Only the log
+// watchReloads reloads the settings on each signal of Reloads until ctx ends. Only the log
 // level takes effect immediately; other settings need a restart, because they
 // belong to open addresses and running components. An invalid file changes nothing.
-func (d *Daemon) watchSignals(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(signals)
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-signals:
-				d.reloadSettings()
-			}
+func (d *Daemon) watchReloads(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.Reloads:
+			d.reloadSettings()
 		}
-	}()
+	}
 }
 
 func (d *Daemon) reloadSettings() {
