Give the calls of load tests to one server after the other

What callers and backend servers see: a version that fails only under load is completed as good, gets 467 to 830 requests where 388 to 451 are allowed (EXPOSURE), and its failures show after that.

Cause, from the evidence lines: the load tests spread their calls evenly, so that each server has its usual load, about 5 calls in progress with 18 slots. Versions that were completed had 0 of 319, 1 of 225, 3 of 207 and 5 of 237 calls fail in the final test: at that load the fault shows now and then only. Ruled out: a verdict that ignores what it has (no test at these numbers tells such a version from one that shares its errors), and reports that are missing (without cuts all daemons reported).

Change: in a load test the servers of the new version get its calls one after the other, up to 0.6 of their slots, in the same order at all daemons; three turns begin with other servers. The share, the time and the number of calls stay as they are, so fewer calls show the fault.

TestVersionBadAboveUsualLoadStaysWithinExposure, a model of this load: 19 of 20 seeds failed before (477 to 562 calls of 261 to 271 allowed), 20 of 20 pass.

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -28,8 +28,11 @@
 	// last response: with 0.8, several daemons of a busy zone together filled the
 	// queues of its servers (see TestFleetSpreadsLoad).
 	defaultSpillThreshold = 0.6
-	maxDraws              = 4                      // draws of a candidate; four times as many in the last tier
-	emptyPoolRetryAfter   = 500 * time.Millisecond // retry time for a pool without servers, which may be announced soon
+	// packedLoad is the fraction of a server's limit up to which ChoosePacked loads it: well
+	// above the usual load, and below that at which a good version becomes slow.
+	packedLoad          = 0.6
+	maxDraws            = 4                      // draws of a candidate; four times as many in the last tier
+	emptyPoolRetryAfter = 500 * time.Millisecond // retry time for a pool without servers, which may be announced soon
 	// maxPairDraws limits the search for a server below the spill threshold before a
 	// call uses the next tier. Both draws of a pair may return the same server.
 	maxPairDraws = 3
@@ -291,6 +294,32 @@
 	return usable[thmember.Rendezvous(key, members, 1)[0].Name], nil
 }
 
+// ChoosePacked selects a usable server of the pool that is not excluded and less than
+// packedLoad in use. It takes the first one in the rendezvous order of the key, from a
+// position in it on, 0 to 1, so that all daemons load the same servers. Without such a server
+// it is Choose.
+func (b *Balancer) ChoosePacked(name, key string, position float64, exclude []string) (*Server, error) {
+	v, now := b.view.Load(), thclock.OrSystem(b.Clock).Now()
+	if v == nil || v.pools[name] == nil {
+		return b.Choose(name, exclude)
+	}
+	servers := make(map[string]*Server, len(v.pools[name].servers))
+	members := make([]thwire.Member, 0, len(servers))
+	for _, s := range v.pools[name].servers {
+		servers[s.Member.Name] = s
+		members = append(members, s.Member)
+	}
+	order := thmember.Rendezvous(key, members, len(members))
+	first := int(position * float64(len(order)))
+	for i := range order {
+		s := servers[order[(first+i)%len(order)].Name]
+		if s.class(exclude, now) == classUsable && float64(s.inUse(thclock.Stamp(now))) < packedLoad*float64(s.capacity()) {
+			return s, nil
+		}
+	}
+	return b.Choose(name, exclude)
+}
+
 // drawPair draws two candidates and returns the one with the lower score, or nil if
 // none was drawn. In the last tier, candidates that are skipped because of their
 // weight are drawn again; in other tiers the call uses the next tier instead, so that
--- a/thbalance/balancer_test.go
+++ b/thbalance/balancer_test.go
@@ -374,3 +374,44 @@
 	_, err = a.ChooseByKey("none", "key", nil)
 	assert.Assert(t, therror.Is(err, therror.Unready))
 }
+
+// Guards against load tests that spread the calls over all servers or fill one beyond its
+// room, against daemons that load different ones, and against servers that never get their
+// turn.
+func TestPackedCallsFillOneServerAfterTheOther(t *testing.T) {
+	a, _ := balancer("a-1")
+	b, _ := balancer("a-2")
+	var members []thwire.Member
+	for i := range 3 {
+		members = append(members, member(fmt.Sprintf("m%d", i), fmt.Sprintf("a-%d", 1+i%2)))
+	}
+	a.Update(tables(), members)
+	b.Update(tables(), members)
+	choose := func(b *Balancer, position float64, exclude ...string) *Server {
+		t.Helper()
+		s, err := b.ChoosePacked("p", "move", position, exclude)
+		assert.NilError(t, err)
+		return s
+	}
+	firsts := map[string]bool{}
+	for turn := range 3 {
+		s := choose(a, float64(turn)/3)
+		assert.Equal(t, choose(b, float64(turn)/3).Member.Name, s.Member.Name)
+		firsts[s.Member.Name] = true
+	}
+	assert.Equal(t, len(firsts), 3)
+	first := choose(a, 0)
+	taken := int64(0)
+	for ; choose(a, 0) == first; taken++ {
+		first.Begin()
+	}
+	assert.Equal(t, taken, int64(math.Ceil(packedLoad*float64(first.capacity()))))
+	second := choose(a, 0)
+	assert.Assert(t, second != choose(a, 0, second.Member.Name))
+	for _, s := range a.view.Load().pools["p"].servers {
+		s.inflight.Store(s.capacity())
+	}
+	assert.Assert(t, choose(a, 0) != nil, "no server has room: any one is chosen")
+	_, err := a.ChoosePacked("none", "move", 0, nil)
+	assert.Assert(t, therror.Is(err, therror.Unready))
+}
--- a/thdaemon/adapters.go
+++ b/thdaemon/adapters.go
@@ -37,6 +37,15 @@
 	return choice{s}, nil
 }
 
+// ChoosePacked selects the first backend server with room in the order of a key.
+func (b balancer) ChoosePacked(pool, key string, position float64, exclude []string) (thproxy.Choice, error) {
+	s, err := b.Balancer.ChoosePacked(pool, key, position, exclude)
+	if err != nil {
+		return nil, err
+	}
+	return choice{s}, nil
+}
+
 // choice is a chosen backend server.
 type choice struct{ server *thbalance.Server }
 
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -319,3 +319,25 @@
 		}
 	}
 }
+
+// Guards against a version that fails only at half of a server's slots, which its usual load
+// reaches now and then: spread evenly, the calls of the load tests showed nothing significant,
+// and the move was done.
+func TestVersionBadAboveUsualLoadStaysWithinExposure(t *testing.T) {
+	for seed := range int64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := newRollout(seed, 130, 16500*time.Millisecond)
+			r.poisson = true
+			r.routes = []modelRoute{{"bookings", 200 * time.Millisecond}, {"slots", 40 * time.Millisecond}}
+			r.respond = func(r *rollout, c *modelCall, load int) {
+				if load >= modelSlots/2 && r.random.Float64() < 0.5 {
+					c.status = 500
+				}
+			}
+			r.play(r.span + 5*time.Second)
+			r.requireWithinExposure(t)
+			assert.Equal(t, r.state(), thconfig.MoveReverted)
+		})
+	}
+}
--- a/thmove/mover.go
+++ b/thmove/mover.go
@@ -246,6 +246,18 @@
 	return m.Share(thconfig.PoolKey(pool))
 }
 
+// LoadTest reports whether a load test of a move runs, and the position among the servers of
+// the new version, 0 to 1, from which on they get the calls. Calls that are spread evenly load
+// each server as little as usual, so a version that fails at a higher load would pass.
+func (m *Mover) LoadTest(move string) (position float64, running bool) {
+	v := m.view.Load()
+	if v == nil || v.byMove[move] == nil {
+		return 0, false
+	}
+	turn, running := v.byMove[move].currentStep().loadTestTurn(thclock.OrSystem(m.Clock).Now())
+	return float64(turn) / loadTestTurns, running
+}
+
 // Observe counts the outcome of a call of a moving route at its ingress. These counts
 // are used only on this daemon. An empty kind means that the backend server responded
 // with status.
--- a/thmove/rollout_test.go
+++ b/thmove/rollout_test.go
@@ -87,6 +87,7 @@
 const (
 	modelStep    = 25 * time.Millisecond
 	callDeadline = 2 * time.Second
+	modelSlots   = 18 // of a server
 	// The old version fails some calls too.
 	usualErrorRate = 0.018
 )
@@ -189,10 +190,10 @@
 	}
 	r.peak = max(r.peak, share)
 	allowed := false
-	if c.served, allowed = r.dispatch(c, servers); !allowed {
+	if c.served, allowed = r.dispatch(m, c, servers); !allowed {
 		// Calls that the new version rejects go to the old one.
 		c.pool = "old"
-		c.served, _ = r.dispatch(c, oldServers)
+		c.served, _ = r.dispatch(m, c, oldServers)
 	}
 	if r.clock.Since(r.start) < r.span {
 		r.all++
@@ -216,15 +217,31 @@
 	heap.Push(&r.inProgress, c)
 }
 
-// dispatch sends a call to the server with the fewest calls in progress.
-func (r *rollout) dispatch(c *modelCall, servers []string) (*ServedCall, bool) {
-	c.server = servers[r.random.Intn(len(servers))]
+// dispatch sends a call to a server.
+func (r *rollout) dispatch(ingress *Mover, c *modelCall, servers []string) (*ServedCall, bool) {
+	c.server = r.choose(ingress, c, servers)
+	return r.movers[c.server].BeginServed(c.route, c.pool, false)
+}
+
+// choose returns the server with the fewest calls in progress. In a load test it is the first
+// one that has room, as for thbalance.Balancer.ChoosePacked.
+func (r *rollout) choose(ingress *Mover, c *modelCall, servers []string) string {
+	const room = 0.6 * modelSlots
+	if position, running := ingress.LoadTest(r.tables.Moves[0].Name); running && c.pool == "new" {
+		first := int(position * float64(len(servers)))
+		for i := range servers {
+			if s := servers[(first+i)%len(servers)]; float64(r.running[s]) < room {
+				return s
+			}
+		}
+	}
+	server := servers[r.random.Intn(len(servers))]
 	for _, s := range servers {
-		if r.running[s] < r.running[c.server] {
-			c.server = s
+		if r.running[s] < r.running[server] {
+			server = s
 		}
 	}
-	return r.movers[c.server].BeginServed(c.route, c.pool, false)
+	return server
 }
 
 // finishCalls ends the calls whose time has come, and returns them.
--- a/thmove/schedule.go
+++ b/thmove/schedule.go
@@ -50,6 +50,9 @@
 	// new version get no more calls of a load test. Traffic may grow meanwhile, as when
 	// callers repeat what a bad version fails.
 	maxExposure = 0.97
+	// loadTestTurns is the number of parts of a load test, in each of which other servers of
+	// the new version get the load first.
+	loadTestTurns = 3
 	// maxTestPart is the factor on the part of the first load test by which it may grow
 	// before its calls are cut; the last one then gets less.
 	maxTestPart = 2
--- a/thmove/track.go
+++ b/thmove/track.go
@@ -83,6 +83,15 @@
 	return stepShare(s.number)
 }
 
+// loadTestTurn returns the turn of a load test, from zero; false unless one runs.
+func (s *moveStep) loadTestTurn(now time.Time) (turn int, running bool) {
+	elapsed := now.Sub(s.since)
+	if !isLoadTest(s.number) || elapsed >= s.lasts {
+		return 0, false
+	}
+	return int(loadTestTurns * elapsed / s.lasts), true
+}
+
 // newTrack returns the track of a move that this daemon learns of now.
 func newTrack(move thconfig.Move, now time.Time) *track {
 	if move.Span > 0 {
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -213,12 +213,8 @@
 // choose picks a server and skips peers that have sent GoAway. Copies of a suspect request go
 // to one server, which runs them one at a time, so that a crash stops those that wait.
 func (c *call) choose() (Choice, error) {
-	pick := func() (Choice, error) { return c.Balancer.Choose(c.open.Pool, c.excluded) }
-	if c.open.Suspect != "" {
-		pick = func() (Choice, error) { return c.Balancer.ChooseByKey(c.open.Pool, c.open.Suspect, c.excluded) }
-	}
 	for {
-		choice, err := pick()
+		choice, err := c.pick()
 		if err != nil && c.open.Pool != c.basePool {
 			// The new version of a move has no available server: use the old one.
 			c.open.Pool = c.basePool
@@ -238,6 +234,20 @@
 	}
 }
 
+// pick asks the balancer for a server that is not excluded. In a load test of a move, the
+// servers of the new version get their calls one after the other.
+func (c *call) pick() (Choice, error) {
+	if c.open.Suspect != "" {
+		return c.Balancer.ChooseByKey(c.open.Pool, c.open.Suspect, c.excluded)
+	}
+	if c.move != "" && c.open.Pool != c.basePool {
+		if position, running := c.Mover.LoadTest(c.move); running {
+			return c.Balancer.ChoosePacked(c.open.Pool, c.move, position, c.excluded)
+		}
+	}
+	return c.Balancer.Choose(c.open.Pool, c.excluded)
+}
+
 // maxExcluded is the number of excluded servers at which choose stops skipping
 // peers and fails.
 const maxExcluded = 16
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -44,6 +44,9 @@
 	Share(route string) (move, to string, share float64, running bool)
 	// SharePool returns the same for the running move of a pool.
 	SharePool(pool string) (move, to string, share float64, running bool)
+	// LoadTest reports whether a load test of a move runs, and the position among the
+	// servers of the new version, 0 to 1, from which on they get the calls.
+	LoadTest(move string) (position float64, running bool)
 	// Observe records the result of an attempt as evidence about the move.
 	Observe(move, pool, server string, kind therror.Kind, status int, latency time.Duration, load thwire.Load)
 }
@@ -54,6 +57,9 @@
 	Choose(pool string, exclude []string) (Choice, error)
 	// ChooseByKey chooses the same server for a key at all daemons while it is usable.
 	ChooseByKey(pool, key string, exclude []string) (Choice, error)
+	// ChoosePacked chooses the first server in the order of a key, from a position in it on,
+	// that has room; the same one at all daemons.
+	ChoosePacked(pool, key string, position float64, exclude []string) (Choice, error)
 }
 
 // Choice is a chosen backend server. Begin is called before an attempt at the
--- a/thproxy/ingress_test.go
+++ b/thproxy/ingress_test.go
@@ -237,6 +237,8 @@
 	observed map[string]int
 }
 
+func (*fakeMover) LoadTest(string) (float64, bool) { return 0, false }
+
 func (*fakeMover) SharePool(string) (string, string, float64, bool) { return "", "", 0, false }
 
 func (*fakeMover) Share(route string) (string, string, float64, bool) {
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -98,6 +98,10 @@
 }
 
 // ChooseByKey chooses the last member that is not excluded, whatever the key.
+func (b *fakeBalancer) ChoosePacked(pool, _ string, _ float64, exclude []string) (Choice, error) {
+	return b.Choose(pool, exclude)
+}
+
 func (b *fakeBalancer) ChooseByKey(pool, _ string, exclude []string) (Choice, error) {
 	for i := len(b.members) - 1; i >= 0; i-- {
 		if !slices.Contains(exclude, b.members[i].Name) {
