Don't complete a version whose load test was not seen whole

What callers see: beside kills and cuts, a version that is bad under load is completed as good (EXPOSURE).

Change: the coordinator compares the totals of each source with those at the start of the test. Without three servers tested (all, or what the traffic implies, if that is less), or with more than a quarter as many daemons started again, the version is reverted 0.75 s before the deadline, with a reason that says so.

TestLoadTestSeenInPartIsNoEvidence failed before ("done"), and passes; reports that come late still complete a version.

--- a/thmove/coordinator.go
+++ b/thmove/coordinator.go
@@ -183,7 +183,7 @@
 // allow it. A version that is suspect gets no load test.
 func (m *Mover) raiseStep(v *view, t *track, counts []thwire.ServerCounts, now time.Time) {
 	step, sent := t.currentStep(), t.sent.sum(now)
-	t.evidence.update(step.number, step.share(now), sent)
+	t.evidence.update(step.number, step.share(now), sent, t.sent)
 	next := step.number + 1
 	switch {
 	case t.bad.Load() || v.servers[t.move.Name] == 0,
@@ -191,6 +191,12 @@
 		!t.hasSettled(now) || !t.evidence.isEnough(sent),
 		t.suspect && next >= firstLoadTest:
 		return
+	case step.number == finalLoadTest && !m.hasTested(v, t):
+		if t.isDue(now) {
+			m.Log.Warn("new version is untested", "move", t.move.Name, "servers", v.servers[t.move.Name])
+			m.publish(v, now, thwire.MoveState{Move: t.move.Name, Step: step.number, Bad: true, Reason: "the load test was not seen whole"})
+		}
+		return
 	}
 	var test loadTest
 	if isLoadTest(next) {
@@ -209,6 +215,15 @@
 	m.publish(v, now, thwire.MoveState{Move: t.move.Name, Step: next, Lasts: test.lasts, Calls: calls})
 }
 
+// hasTested reports whether the final load test, which has ended, has been seen. A coordinator
+// that took over since its start can't tell, and goes by the responses alone.
+func (m *Mover) hasTested(v *view, t *track) bool {
+	if t.coordinatorSince.After(t.currentStep().since.Add(2 * tickInterval)) {
+		return true
+	}
+	return t.evidence.coversLoadTest(t.sent, v.servers[t.move.Name])
+}
+
 // logEvidence logs what the verdict about a running move is based on, once per
 // evidenceLogInterval: the calls sent, and the counts of the routes with a baseline.
 func (m *Mover) logEvidence(t *track, counts []thwire.ServerCounts, now time.Time) {
--- a/thmove/exposure_test.go
+++ b/thmove/exposure_test.go
@@ -341,3 +341,36 @@
 		})
 	}
 }
+
+// Guards against a version that is completed although the results of its final load test did
+// not reach the coordinator from most of its servers, and against one that is reverted for
+// reports that come late.
+func TestLoadTestSeenInPartIsNoEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late time.Duration // of the reports after the start of the final load test; zero if they are lost
+		want string
+	}{
+		{"lost", 0, thconfig.MoveReverted},
+		{"late", 700 * time.Millisecond, thconfig.MoveDone},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRollout(1, modelledTraffic, 15*time.Second)
+			var tested time.Time
+			r.loses = func(report thwire.Report) bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if r.updates[report.Move].Step < finalLoadTest || report.Source == "ebetsu-3" {
+					return false
+				}
+				if tested.IsZero() {
+					tested = r.clock.Now()
+				}
+				return c.late == 0 || r.clock.Since(tested) < c.late
+			}
+			r.play(r.span + 5*time.Second)
+			assert.Equal(t, r.state(), c.want)
+		})
+	}
+}
--- a/thmove/mover_test.go
+++ b/thmove/mover_test.go
@@ -31,7 +31,8 @@
 	// ended holds the committed ends by move if they don't reach the tables, as with a
 	// source that is read only after an operator's change; nil otherwise.
 	ended  map[string]string
-	sent   int // reports
+	loses  func(thwire.Report) bool // tells whether a report is lost; nil loses none
+	sent   int                      // reports
 	random *rand.Rand
 	calls  int
 	toNew  int       // calls sent to the new version
@@ -58,6 +59,9 @@
 	m.mu.Lock()
 	m.sent++
 	m.mu.Unlock()
+	if m.loses != nil && m.loses(*message.(*thwire.Report)) {
+		return nil
+	}
 	if to := m.movers[name]; to != nil {
 		to.HandleReport(*message.(*thwire.Report))
 	}
--- a/thmove/reports.go
+++ b/thmove/reports.go
@@ -103,15 +103,16 @@
 // the share of the traffic implies.
 type stepEvidence struct {
 	step     int
-	answered uint64 // before the step
-	all      uint64 // calls of both versions at the last update
+	answered uint64                // before the step
+	before   map[string]sentSource // of each source, when the step was first seen
+	all      uint64                // calls of both versions at the last update
 	expected float64
 }
 
 // update adds the calls since the last update, which had the given share.
-func (e *stepEvidence) update(step int, share float64, sent sentCalls) {
+func (e *stepEvidence) update(step int, share float64, sent sentCalls, reports sentReports) {
 	if step != e.step {
-		*e = stepEvidence{step: step, answered: sent.newAnswered, all: e.all}
+		*e = stepEvidence{step: step, answered: sent.newAnswered, all: e.all, before: reports.snapshot()}
 	}
 	e.expected += share * float64(sent.all()-min(e.all, sent.all()))
 	e.all = sent.all()
@@ -125,6 +126,32 @@
 	return answered >= minStepResponses || e.expected < minExpectedResponses || float64(answered) >= e.expected/4
 }
 
+// minTestedResponses is the number of responses from which on a server counts as tested by a
+// load test.
+const minTestedResponses = 3
+
+// maxRestartedShare limits the sources that may have started again during a load test, as a
+// fraction of the servers that it has tested: their results are lost.
+const maxRestartedShare = 0.25
+
+// coversLoadTest reports whether the results of the load test that is the current step have
+// been seen: enough servers of the new version have been tested, of those that can be expected
+// from the traffic, and few daemons beside them have started again since.
+func (e *stepEvidence) coversLoadTest(reports sentReports, servers int) bool {
+	tested, restarted := 0, 0
+	for name, now := range reports.sources {
+		before := e.before[name]
+		switch {
+		case now.starts != before.starts && now.total().newVersion > 0:
+			restarted++
+		case now.total().newAnswered-before.total().newAnswered >= minTestedResponses:
+			tested++
+		}
+	}
+	needed := min(servers, loadTestTurns, int(e.expected/(2*minTestedResponses)))
+	return tested >= needed && float64(restarted) <= maxRestartedShare*float64(tested)
+}
+
 // sentReports adds up the totals that the reports of one move carry. The zero value is
 // empty.
 type sentReports struct {
@@ -136,6 +163,24 @@
 type sentSource struct {
 	at           time.Time
 	before, last sentCalls
+	starts       int // how often it has started again
+}
+
+// total returns the calls that the source has counted.
+func (e *sentSource) total() sentCalls {
+	return sentCalls{
+		oldVersion: e.before.oldVersion + e.last.oldVersion, newVersion: e.before.newVersion + e.last.newVersion,
+		newAnswered: e.before.newAnswered + e.last.newAnswered,
+	}
+}
+
+// snapshot returns a copy of the sources.
+func (s *sentReports) snapshot() map[string]sentSource {
+	sources := make(map[string]sentSource, len(s.sources))
+	for name, e := range s.sources {
+		sources[name] = *e
+	}
+	return sources
 }
 
 func (s *sentReports) put(now time.Time, r thwire.Report) {
@@ -151,6 +196,7 @@
 		e.before.oldVersion += e.last.oldVersion
 		e.before.newVersion += e.last.newVersion
 		e.before.newAnswered += e.last.newAnswered
+		e.starts++
 	}
 	e.at, e.last = now, sentCalls{r.OldSent, r.NewSent, r.OldActive, r.NewAnswered}
 }
@@ -160,9 +206,10 @@
 func (s *sentReports) sum(now time.Time) sentCalls {
 	var sum sentCalls
 	for _, e := range s.sources {
-		sum.oldVersion += e.before.oldVersion + e.last.oldVersion
-		sum.newVersion += e.before.newVersion + e.last.newVersion
-		sum.newAnswered += e.before.newAnswered + e.last.newAnswered
+		total := e.total()
+		sum.oldVersion += total.oldVersion
+		sum.newVersion += total.newVersion
+		sum.newAnswered += total.newAnswered
 		if now.Sub(e.at) <= reportTTL {
 			sum.oldActive += e.last.oldActive
 		}
