Enforce the limits of the configuration

What callers and operators see: `limits` and `max_connections` of the configuration have no effect. Headers up to 64 KiB, bodies of any size, 10 s for a header and 2 min of idle time are allowed, whatever the operator writes.

Change: thhttp.Server takes Limits, which can be changed while it serves. A header above its limit gets 431, a body 413, a header that takes too long 408, and idle connections end. Exactly the limit passes. DirectTransport bounds its open connections, idle ones included; a changed bound holds for requests that wait. New error kind `large` for a chunked body, of which a part may have been sent, and the metric limited_total by limit.

Found on the way: a header that was cut in the middle of a line by the limit got 400, with the line in the response (TestHeadCutAnywhereIsTooLong; sizes 8,097 and 8,099 with a limit of 4,000).

HTTP/2 callers keep the limits of the settings.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -233,7 +233,8 @@
 			Name: self.Name, Zone: self.Zone, Region: self.Region,
 		}
 	}}
-	d.transport = &thproxy.DirectTransport{MaxConnections: d.Settings.Server.Connections, Clock: d.Clock}
+	d.transport = &thproxy.DirectTransport{Clock: d.Clock, OnConnectionLimit: func() { d.metrics.CountLimited(limitConnections) }}
+	d.transport.SetMaxConnections(d.Settings.Server.Connections)
 	d.closers = append(d.closers, d.transport.CloseIdle)
 	d.target = &thproxy.Target{
 		Transport: d.transport,
@@ -249,6 +250,7 @@
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
 		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
 	}
+	d.ingressServer = d.newIngressServer()
 	d.crashStore = &crashStore{Daemon: d, waiting: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
 	d.crashes = &thcrash.Tracker{
 		Publish: d.node.MergeCrashRecord, Persist: d.crashStore.offer, Clock: d.Clock, Log: d.Log.Named("crash"),
@@ -301,6 +303,7 @@
 		d.updater.runNow()
 	})
 	d.replica.Watch(func(s *thsync.Snapshot) {
+		d.setLimits(&s.Tables)
 		zone, found := s.Tables.Zone(d.Settings.Daemon.Zone)
 		if out := found && zone.Out; d.zoneOut.Swap(out) != out {
 			d.Log.Info("zone of this daemon changed", "out", out, "version", thconfig.VersionText(s.Tables.Version))
--- a/thdaemon/listen.go
+++ b/thdaemon/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thhttp"
 )
@@ -47,15 +48,38 @@
 	}
 	http2Conns := &thhttp.ConnListener{Address: l.Addr()}
 	d.http2Server = d.newServer(d.ingress)
-	d.ingressServer = &thhttp.Server{
-		Handler: d.ingress, HTTP2: http2Conns.Deliver, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeader: maxHeaderSize, Clock: d.Clock, Log: d.Log.Named("http"),
-	}
+	d.ingressServer.HTTP2 = http2Conns.Deliver
 	d.serveInBackground(address, func() error { return d.http2Server.Serve(http2Conns) })
 	d.serveInBackground(address, func() error { return d.ingressServer.Serve(l) })
 	return nil
 }
 
+// newIngressServer returns the server of the ingress address, with the limits that apply
+// without a configuration.
+func (d *Daemon) newIngressServer() *thhttp.Server {
+	return &thhttp.Server{
+		Handler: d.ingress, Clock: d.Clock, Log: d.Log.Named("http"),
+		Limits:  thhttp.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderSize},
+		OnLimit: func(l thhttp.Limit) { d.metrics.CountLimited(string(l)) },
+	}
+}
+
+// limitConnections names the limit of connections to the backend server in the metrics.
+const limitConnections = "connections"
+
+// setLimits applies the limits of the configuration to HTTP/1 callers, and that of the local
+// service to the connections to its backend server. The settings may have a lower one.
+func (d *Daemon) setLimits(t *thconfig.Tables) {
+	if l := t.Limits; l != nil {
+		d.ingressServer.SetLimits(thhttp.Limits{HeaderTimeout: l.Wait, IdleTimeout: l.Idle, MaxHeader: l.Header, MaxBody: l.Body})
+	}
+	connections := d.Settings.Server.Connections
+	if s, found := t.Service(d.Settings.Server.Service); found && s.Connections > 0 {
+		connections = min(connections, s.Connections)
+	}
+	d.transport.SetMaxConnections(connections)
+}
+
 func (d *Daemon) listen(ctx context.Context, address netip.AddrPort, h http.Handler) error {
 	l, err := open(ctx, address)
 	if err != nil {
--- a/therror/kind.go
+++ b/therror/kind.go
@@ -24,6 +24,7 @@
 	// Quarantined is a request that has crashed the backend servers which ran it.
 	Quarantined Kind = "quarantined"
 
+	Large     Kind = "large"     // the request body exceeds the limit; a part of it may have been sent
 	Deep      Kind = "deep"      // call depth exceeds the limit
 	Late      Kind = "late"      // deadline exceeded; outcome unknown
 	Broken    Kind = "broken"    // connection broke or response malformed; outcome unknown
@@ -67,6 +68,7 @@
 	Leaving:  {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
 	Unready:  {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
 	Down:     {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Large:    {Status: http.StatusRequestEntityTooLarge, ExitCode: 2},
 	Deep:     {Status: http.StatusLoopDetected, ExitCode: 3, NotRun: true},
 	Late:     {Status: http.StatusGatewayTimeout, ExitCode: 7},
 	Broken:   {Status: http.StatusBadGateway, ExitCode: 7},
--- a/thhttp/conn_reader.go
+++ b/thhttp/conn_reader.go
@@ -21,6 +21,7 @@
 	conn       net.Conn
 	buffered   []byte // bytes read ahead
 	headBudget int    // bytes that may still be read for the head; negative for no limit
+	taken      int64  // bytes returned by Read
 	firstByte  [1]byte
 }
 
@@ -47,6 +48,7 @@
 	if r.headBudget > 0 {
 		r.headBudget -= n
 	}
+	r.taken += int64(n)
 	return n, err
 }
 
--- a/thhttp/connection.go
+++ b/thhttp/connection.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"time"
 
@@ -181,7 +182,15 @@
 	defer c.mutex.Unlock()
 	c.readerState = readerBusy
 	c.drainExpired = c.draining
-	return len(c.queue) > 0 || c.draining || c.closing
+	if len(c.queue) > 0 || c.draining || c.closing {
+		return true
+	}
+	if c.started {
+		c.server.countLimit(LimitIdleTimeout)
+	} else {
+		c.server.countLimit(LimitHeaderTimeout)
+	}
+	return false
 }
 
 // hasInput reports whether bytes of the next request are buffered.
@@ -195,8 +204,7 @@
 	defer c.mutex.Unlock()
 	c.readerState = readerBusy
 	c.started = true
-	timeout := durationOrDefault(c.server.HeaderTimeout, defaultHeaderTimeout)
-	return c.conn.SetReadDeadline(c.now().Add(timeout))
+	return c.conn.SetReadDeadline(c.now().Add(c.server.currentLimits().HeaderTimeout))
 }
 
 // setIdleDeadline sets the deadline for the first byte of the next request; there is
@@ -206,11 +214,11 @@
 	switch {
 	case len(c.queue) > 0:
 	case c.started:
-		deadline = c.now().Add(durationOrDefault(c.server.IdleTimeout, defaultIdleTimeout))
+		deadline = c.now().Add(c.server.currentLimits().IdleTimeout)
 	case c.draining:
 		deadline = c.now().Add(firstRequestTimeout)
 	default:
-		deadline = c.now().Add(durationOrDefault(c.server.HeaderTimeout, defaultHeaderTimeout))
+		deadline = c.now().Add(c.server.currentLimits().HeaderTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
@@ -224,8 +232,10 @@
 	}
 	// The reader may fetch up to one buffer beyond the head: bytes of the body or of
 	// the next request.
-	c.input.headBudget = intOrDefault(c.server.MaxHeader, defaultMaxHeader) + readBufferSize
+	limits := c.server.currentLimits()
+	c.input.headBudget = limits.MaxHeader + emptyLine + readBufferSize
 	defer func() { c.input.headBudget = -1 }()
+	start := c.input.taken - int64(c.reader.Buffered())
 	f, err := peekFraming(c.reader)
 	if err != nil {
 		return nil, err
@@ -236,16 +246,42 @@
 		}
 	}
 	request, err := http.ReadRequest(c.reader)
+	if err != nil && c.input.headBudget == 0 {
+		err = errHeadTooLong // the line that was cut looks malformed
+	}
 	if err != nil {
 		return nil, err
 	}
+	if size := c.input.taken - int64(c.reader.Buffered()) - start - emptyLine; size > int64(limits.MaxHeader) {
+		return nil, errHeadTooLong
+	}
 	if err := validateRequest(request, f); err != nil {
 		return nil, err
 	}
+	if err := c.limitBody(request, limits.MaxBody); err != nil {
+		return nil, err
+	}
 	request.RemoteAddr = c.remote
 	return c.newResponse(request, f), nil
 }
 
+// emptyLine is the size of the line that ends a head, in bytes.
+const emptyLine = 2
+
+// limitBody rejects a body that is longer than the limit, and limits one of unknown length. A
+// limit of zero means none.
+func (c *connection) limitBody(r *http.Request, limit int64) error {
+	switch {
+	case limit == 0 || r.Body == nil || r.Body == http.NoBody:
+	case r.ContentLength > limit:
+		c.server.countLimit(LimitBody)
+		return &requestError{http.StatusRequestEntityTooLarge, "body exceeds " + strconv.FormatInt(limit, 10) + " bytes"}
+	case r.ContentLength < 0:
+		r.Body = &limitedBody{ReadCloser: r.Body, server: c.server, limit: limit, left: limit}
+	}
+	return nil
+}
+
 // enqueue adds a request to the queue. It returns false if the connection is
 // closing or broken: the request then counts as not read.
 func (c *connection) enqueue(r *response) bool {
@@ -363,12 +399,14 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
+		c.server.countLimit(LimitHeaderTimeout)
 	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken):
 		return err
 	case errors.As(err, &invalid):
 		status = invalid.status
 	case errors.Is(err, errHeadTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
+		c.server.countLimit(LimitHeader)
 	}
 	r := c.newResponse(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, framing{complete: true})
 	r.closesConnection = true
--- a/thhttp/head_test.go
+++ b/thhttp/head_test.go
@@ -19,7 +19,7 @@
 // against error responses that are sent out of order.
 func TestBadHeads(t *testing.T) {
 	var ran atomic.Int32
-	s := &Server{MaxHeader: 8 << 10, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := &Server{Limits: Limits{MaxHeader: 8 << 10}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ran.Add(1)
 		if r.URL.Path == "/first" {
 			time.Sleep(20 * time.Millisecond)
@@ -60,7 +60,7 @@
 
 // Guards against endless heads and bodies that take unbounded memory or time.
 func TestEndlessRequests(t *testing.T) {
-	s := &Server{HeaderTimeout: 300 * time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := &Server{Limits: Limits{HeaderTimeout: 300 * time.Millisecond}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/read" {
 			n, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, 1<<20))
 			assert.Check(t, err != nil && n <= 1<<20)
--- a/thhttp/server.go
+++ b/thhttp/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,12 +17,12 @@
 	"github.com/turmerichaven/turmerichaven/thclock"
 )
 
-// Defaults for the fields of a Server that are zero.
+// Defaults for the fields of a Server and its Limits that are zero.
 const (
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
-	defaultMaxHeader     = 64 << 10 // bytes of a request head
-	defaultMaxPipelined  = 16       // requests of a connection in progress at once
+	defaultMaxHeader     = 64 << 10
+	defaultMaxPipelined  = 16 // requests of a connection in progress at once
 )
 
 // Bounds of the exponential backoff after a failed accept, as when the process is out
@@ -41,13 +42,14 @@
 	Handler http.Handler
 	// HTTP2 takes over the connections of clients that speak HTTP/2 with prior
 	// knowledge; nil rejects them.
-	HTTP2         func(net.Conn)
-	HeaderTimeout time.Duration // for reading a request head; 10 s when zero
-	IdleTimeout   time.Duration // for a connection between requests; 2 min when zero
-	MaxHeader     int           // bytes of a request head; 64 KiB when zero
-	MaxPipelined  int           // requests of a connection in progress at once; 16 when zero
-	Clock         clockwork.Clock
-	Log           hclog.Logger
+	HTTP2        func(net.Conn)
+	Limits       Limits      // until SetLimits is called
+	OnLimit      func(Limit) // called for each request or connection that a limit ends; may be nil
+	MaxPipelined int         // requests of a connection in progress at once; 16 when zero
+	Clock        clockwork.Clock
+	Log          hclog.Logger
+
+	limits atomic.Pointer[Limits] // nil until SetLimits is called
 
 	mutex       sync.Mutex
 	listeners   map[net.Listener]struct{}
--- a/thmetric/metrics.go
+++ b/thmetric/metrics.go
@@ -52,6 +52,7 @@
 	movesEnded       *prometheus.CounterVec
 	serverCrashes    *prometheus.CounterVec
 	rejectedMessages *prometheus.CounterVec
+	limited          *prometheus.CounterVec
 	crashRequests    *prometheus.GaugeVec
 	gauges           map[string]prometheus.Gauge // without labels; for keys see gaugeNames
 
@@ -175,6 +176,12 @@
 	m.rejectedMessages.WithLabelValues(string(kind)).Inc()
 }
 
+// CountLimited counts a request or a connection of a caller that a limit has ended.
+func (m *Metrics) CountLimited(limit string) {
+	m.once.Do(m.register)
+	m.limited.WithLabelValues(limit).Inc()
+}
+
 // SetCrashRequests sets the number of requests that may have crashed a backend server, and of
 // those that are quarantined.
 func (m *Metrics) SetCrashRequests(suspect, quarantined int) {
@@ -260,6 +267,7 @@
 	for _, k := range []therror.Kind{therror.Bad, therror.Conflict} {
 		m.rejectedMessages.WithLabelValues(string(k))
 	}
+	m.limited = m.newCounter("limited_total", "Requests and connections of callers that a limit has ended.", "limit")
 	m.crashRequests = m.newGauge("crash_requests", "Requests that may have crashed a backend server, and quarantined ones.", "state")
 	m.gauges = map[string]prometheus.Gauge{}
 	for _, g := range [][2]string{
--- a/thproof/limit_test.go
+++ b/thproof/limit_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -279,3 +281,46 @@
 	}
 	assert.Equal(t, len(n.instance.Runs())-before, 0)
 }
+
+// Guards against limits of the configuration on the callers' requests that are not applied, and
+// against changes of them that need a restart.
+func TestLimitsOfTheConfigurationAreApplied(t *testing.T) {
+	h := newHostedFleet(t, 2)
+	h.configure(1)
+	h.waitServing()
+	send := func(header int, body io.Reader) (status int) {
+		n := h.nodes[0]
+		request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/view/x", n.ip(), hostedIngressPort), body)
+		assert.NilError(t, err)
+		request.Host = "site.example"
+		request.Header.Set("X-Request-Id", fmt.Sprint("sizes-", time.Now().UnixNano()))
+		request.Header.Set("X-Padding", strings.Repeat("x", header))
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		response.Body.Close()
+		return response.StatusCode
+	}
+	sizes := func(header, body int) (status int) { return send(header, strings.NewReader(strings.Repeat("x", body))) }
+	chunked := func(body int) (status int) {
+		return send(0, io.MultiReader(strings.NewReader(strings.Repeat("x", body)))) // of unknown length
+	}
+	assert.Equal(t, sizes(8000, 1000), http.StatusOK)
+	h.limits = `{"max_header_bytes":4000,"max_body_bytes":500,"header_timeout_s":1,"idle_timeout_s":2}`
+	h.configure(2)
+	waitUntil(t, "the lower limits are in effect", func() bool { return sizes(8000, 0) == http.StatusRequestHeaderFieldsTooLarge })
+	assert.Equal(t, sizes(0, 501), http.StatusRequestEntityTooLarge)
+	assert.Equal(t, chunked(501), http.StatusRequestEntityTooLarge)
+	assert.Equal(t, chunked(500), http.StatusOK)
+	assert.Equal(t, sizes(3000, 500), http.StatusOK)
+	h.limits = `{"max_header_bytes":12000,"max_body_bytes":2000,"header_timeout_s":1,"idle_timeout_s":2}`
+	h.configure(3)
+	waitUntil(t, "the higher limits are in effect", func() bool { return sizes(8000, 2000) == http.StatusOK })
+	status, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", h.nodes[0].ip(), hostedAdminPort))
+	assert.NilError(t, err)
+	defer status.Body.Close()
+	metrics, err := io.ReadAll(status.Body)
+	assert.NilError(t, err)
+	for _, limit := range []string{"header", "body"} {
+		assert.Assert(t, strings.Contains(string(metrics), `turmerichaven_limited_total{limit="`+limit+`"}`), limit)
+	}
+}
--- a/thproof/rows_test.go
+++ b/thproof/rows_test.go
@@ -39,6 +39,7 @@
 	processingTime time.Duration // of a request
 	routeTimeout   time.Duration // of the routes view and book; one second when shorter
 	settings       string        // further settings of the daemons
+	limits         string        // of the configuration, as JSON; empty for the usual ones
 }
 
 // hostedNode is a daemon process and the stand-in of its backend server.
@@ -229,8 +230,12 @@
 	for _, e := range extra {
 		rules += fmt.Sprintf(`,{"name":"%s","kind":"safe","priority":2,"match":{"prefix":"/%s/"},"action":{"service":"page","timeout_s":1,"max_attempts":1}}`, e, e)
 	}
-	h.store.Put("op", "", "config", []byte(fmt.Sprintf(`{"version":%d,"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15},`+
-		`"listeners":[{"host":"site.example","routing_rules":[%s]}],"clusters":[{"name":"page","health_path":"/h","max_connections":50,"cold_start_s":1,"cold_per_s":20}]}`, version, rules)))
+	limits := h.limits
+	if limits == "" {
+		limits = `{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15}`
+	}
+	h.store.Put("op", "", "config", []byte(fmt.Sprintf(`{"version":%d,"limits":%s,`+
+		`"listeners":[{"host":"site.example","routing_rules":[%s]}],"clusters":[{"name":"page","health_path":"/h","max_connections":50,"cold_start_s":1,"cold_per_s":20}]}`, version, limits, rules)))
 }
 
 // waitUntil fails the test unless the condition becomes true within 15 s.
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -118,6 +118,15 @@
 	return b.err
 }
 
+// bodyErrorKind returns the kind of an error of reading the body from the caller.
+func bodyErrorKind(err error) therror.Kind {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return therror.Large
+	}
+	return therror.Cancelled
+}
+
 // replayable reports whether the whole body can be sent again.
 func (b *body) replayable() bool { return b.stream == nil || !b.stream.overflowed.Load() }
 
@@ -144,7 +153,7 @@
 			return err
 		}
 		if readErr := c.body.callerErr(); readErr != nil {
-			return therror.Wrap(therror.Cancelled, readErr, "read of the request body failed")
+			return therror.Wrap(bodyErrorKind(readErr), readErr, "read of the request body failed")
 		}
 		if therror.IsNotRun(err) || therror.Is(err, therror.Crashed) {
 			// Calls that the new version of a move rejects, or at which it crashes, go to
--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -45,16 +45,18 @@
 // connection. Its errors are of kind Unready if nothing was sent, and Broken
 // otherwise.
 type DirectTransport struct {
-	Headers        *Headers // RequestID names the header to match; if empty, the first final response is returned
-	MaxConnections int      // zero means no limit
-	Clock          clockwork.Clock
-	Dial           func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
-
-	initOnce  sync.Once
-	connSlots chan struct{} // one for each connection in use; nil without a limit
-	dialSlot  chan struct{} // serialises dials, since each new connection costs the server about 1 ms
-	mutex     sync.Mutex
-	idle      []*directConn // most recently used last
+	Headers *Headers // RequestID names the header to match; if empty, the first final response is returned
+	Clock   clockwork.Clock
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // nil means net.Dialer
+	// OnConnectionLimit is called for a request that found no connection in time; nil means
+	// that nobody is told.
+	OnConnectionLimit func()
+
+	initOnce sync.Once
+	slots    connSlots     // of the connections in use
+	dialSlot chan struct{} // serialises dials, since each new connection costs the server about 1 ms
+	mutex    sync.Mutex
+	idle     []*directConn // most recently used last
 }
 
 // newConnectionKey is the context key of withNewConnection.
@@ -97,12 +99,15 @@
 func (d *DirectTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
 	d.initOnce.Do(d.init)
-	if !acquireSlot(ctx, d.connSlots) {
-		return nil, therror.Wrap(therror.Unready, context.Cause(ctx), "all %d connections to the backend server are in use", d.MaxConnections)
+	if !d.slots.acquire(ctx) {
+		if d.OnConnectionLimit != nil {
+			d.OnConnectionLimit()
+		}
+		return nil, therror.Wrap(therror.Unready, context.Cause(ctx), "all connections to the backend server are in use")
 	}
 	c, err := d.getConn(ctx, r.URL.Host)
 	if err != nil {
-		releaseSlot(d.connSlots)
+		d.slots.release()
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -128,17 +133,34 @@
 
 func (d *DirectTransport) init() {
 	d.dialSlot = make(chan struct{}, 1)
-	if d.MaxConnections > 0 {
-		d.connSlots = make(chan struct{}, d.MaxConnections)
+}
+
+// SetMaxConnections limits the open connections, idle ones included; zero means no limit.
+// Connections in use above a lower limit stay open until their requests end.
+func (d *DirectTransport) SetMaxConnections(n int) {
+	d.slots.setLimit(n)
+	d.closeIdleAboveLimit()
+}
+
+// closeIdleAboveLimit closes the idle connections, least recently used first, that exceed the
+// limit together with those in use.
+func (d *DirectTransport) closeIdleAboveLimit() {
+	unused, limited := d.slots.unused()
+	if !limited {
+		return
+	}
+	d.mutex.Lock()
+	excess := max(0, len(d.idle)-unused)
+	closed := slices.Clone(d.idle[:excess])
+	d.idle = d.idle[excess:]
+	d.mutex.Unlock()
+	for _, c := range closed {
+		_ = c.Close()
 	}
 }
 
-// acquireSlot acquires a slot of a semaphore; a nil semaphore has no limit. It
-// returns false if ctx ends first.
+// acquireSlot acquires a slot of a semaphore. It returns false if ctx ends first.
 func acquireSlot(ctx context.Context, slots chan struct{}) bool {
-	if slots == nil {
-		return true
-	}
 	select {
 	case slots <- struct{}{}:
 		return true
@@ -147,12 +169,6 @@
 	}
 }
 
-func releaseSlot(slots chan struct{}) {
-	if slots != nil {
-		<-slots
-	}
-}
-
 // getConn returns an idle connection that is open and has no unread input, or a
 // new one. It always returns a new one for a context of withNewConnection.
 func (d *DirectTransport) getConn(ctx context.Context, address string) (*directConn, error) {
@@ -182,7 +198,8 @@
 	if !acquireSlot(ctx, d.dialSlot) {
 		return nil, therror.Wrap(therror.Unready, context.Cause(ctx), "connect to the backend server")
 	}
-	defer releaseSlot(d.dialSlot)
+	defer func() { <-d.dialSlot }()
+	d.closeIdleAboveLimit()
 	dial := d.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: connectTimeout, KeepAlive: keepAliveInterval}).DialContext
@@ -450,7 +467,7 @@
 	}
 	x.done = true
 	x.transport.putConn(x.conn)
-	releaseSlot(x.transport.connSlots)
+	x.transport.slots.release()
 }
 
 // abort ends the exchange and closes the connection.
@@ -461,5 +478,5 @@
 	x.done = true
 	x.stop()
 	_ = x.conn.Close()
-	releaseSlot(x.transport.connSlots)
+	x.transport.slots.release()
 }
--- a/thproxy/direct_test.go
+++ b/thproxy/direct_test.go
@@ -208,7 +208,8 @@
 			writeResponse(c, id, "ok", "")
 		}
 	})
-	d := &DirectTransport{Headers: &Headers{RequestID: testIDHeader}, MaxConnections: 3}
+	d := &DirectTransport{Headers: &Headers{RequestID: testIDHeader}}
+	d.SetMaxConnections(3)
 	var all sync.WaitGroup
 	for i := range 40 {
 		all.Go(func() { _, _ = sendRequest(t, d, address, fmt.Sprint(i%10), nil) })
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -195,7 +195,8 @@
 	server := httptest.NewServer(h)
 	gate := &fakeGate{}
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
-	transport := &DirectTransport{MaxConnections: 100} // daemons have a limit too, by their settings
+	transport := &DirectTransport{}
+	transport.SetMaxConnections(100) // daemons have a limit too, by their settings
 	target := &Target{
 		Gate: gate, Guard: &thonce.Guard{Store: claims, Rate: 1e6}, Transport: transport,
 		Server: func() (thwire.Server, netip.AddrPort, bool) {
