--- a/thproof/endless_test.go
+++ b/thproof/endless_test.go
@@ -7,7 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -19,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
+	"github.com/turmerichaven/turmerichaven/thfleet"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -26,11 +30,11 @@
 // exceeds it is killed.
 const memoryLimit = 184 << 20
 
-// peakMemory returns the largest resident size of the node's daemon, in bytes, since the last
-// call of resetPeakMemory.
-func (n *hostedNode) peakMemory(t *testing.T) int {
+// peakMemory returns the largest resident size of a process, in bytes, since the last call of
+// resetPeakMemory.
+func peakMemory(t *testing.T, p *thfleet.Process) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.daemon.PID()))
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
 	assert.NilError(t, err)
 	for line := range strings.Lines(string(status)) {
 		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
@@ -39,13 +43,27 @@
 			return kilobytes << 10
 		}
 	}
-	t.Fatalf("no peak memory of %s", n.name)
+	t.Fatalf("no peak memory of %s", p.Name)
 	return 0
 }
 
-func (n *hostedNode) resetPeakMemory(t *testing.T) {
+func resetPeakMemory(t *testing.T, p *thfleet.Process) {
 	t.Helper()
-	assert.NilError(t, os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", n.daemon.PID()), []byte("5"), 0o600))
+	assert.NilError(t, os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", p.PID()), []byte("5"), 0o600))
+}
+
+// requireWithinMemory fails the test if a process has ended or has used too much memory.
+func requireWithinMemory(t *testing.T, p *thfleet.Process, what string) {
+	t.Helper()
+	select {
+	case <-p.Done():
+		t.Fatalf("%s: %s has ended", what, p.Name)
+	default:
+	}
+	peak := peakMemory(t, p)
+	assert.Assert(t, peak < memoryLimit, "%s: %s has used %d MiB", what, p.Name, peak>>20)
+	t.Logf("%s: %s %d MiB at its peak", what, p.Name, peak>>20)
+	resetPeakMemory(t, p)
 }
 
 // endlessPlace is a place of a response in which a faulty party sends bytes without end.
@@ -136,15 +154,7 @@
 func (h *hostedFleet) requireWithinMemory(what string) {
 	h.t.Helper()
 	for _, n := range h.nodes {
-		select {
-		case <-n.daemon.Done():
-			h.t.Fatalf("%s: %s has ended", what, n.name)
-		default:
-		}
-		peak := n.peakMemory(h.t)
-		assert.Assert(h.t, peak < memoryLimit, "%s: %s has used %d MiB", what, n.name, peak>>20)
-		h.t.Logf("%s: %s %d MiB at its peak", what, n.name, peak>>20)
-		n.resetPeakMemory(h.t)
+		requireWithinMemory(h.t, n.daemon, what)
 	}
 }
 
@@ -250,6 +260,44 @@
 	}
 }
 
+// Guards against the same on a platform of kind tables: a daemon that keeps what the table
+// service or the object store sends without end, or doesn't read them again afterwards.
+func TestEndlessPlatformResponsesKeepMemoryBounded(t *testing.T) {
+	f := newFleet(t)
+	platform := &endlessHandler{Handler: httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: f.PlatformAddress()})}
+	server := httptest.NewServer(platform)
+	defer server.Close()
+	apply := func() {
+		_, err := f.Command(t.Context(), "apply", tablesFile(&thfleet.Ishikari))
+		assert.NilError(t, err)
+	}
+	apply()
+	u := &thfleet.Upstream{
+		Name: "slotboard-1-1", Zone: "sapporo", Region: "hokkaido", Service: "slotboard", Version: "1", Slots: 20,
+		PlatformAddress: strings.TrimPrefix(server.URL, "http://"),
+		Env:             []string{"GOGC=50", fmt.Sprintf("GOMEMLIMIT=%dMiB", memoryLimit>>20)}, // as in newEndlessFleet
+	}
+	assert.NilError(t, f.Add(u))
+	assert.NilError(t, f.WaitReady(t.Context()))
+	version := func() uint64 {
+		status, err := u.Status(t.Context())
+		assert.NilError(t, err)
+		return status.Config.Version
+	}
+	for i, p := range endlessPlaces() {
+		before, held := platform.sent.Load(), version()
+		platform.place.Store(&p)
+		server.CloseClientConnections()
+		time.Sleep(2 * time.Second)
+		platform.place.Store(nil)
+		assert.Assert(t, platform.sent.Load() > before, "%s: the platform was not called", p.name)
+		requireWithinMemory(t, u.Daemon, p.name)
+		_, err := f.Command(t.Context(), "route", "set", fmt.Sprint("route", i), "--path", fmt.Sprint("/route", i, "/"), "--pool", "slotboard", "--repeat", "safe", "--timeout", "1s")
+		assert.NilError(t, err)
+		waitUntil(t, p.name+": the change is in effect", func() bool { return version() > held })
+	}
+}
+
 // endlessPeer is a faulty daemon that sends messages without end.
 type endlessPeer struct {
 	name    string
@@ -279,7 +327,7 @@
 		{name: "members", kind: thwire.KindControl, message: func(i int) (thwire.Type, thwire.Message) {
 			u := &thwire.Update{}
 			for m := range 200 {
-				u.Members = append(u.Members, thwire.Member{Name: fmt.Sprint("m", i, "-", m), Zone: long, Incarnation: 1, Server: &thwire.Server{Service: long, Instance: long}})
+				u.Members = append(u.Members, thwire.Member{Name: fmt.Sprint("m", i, "-", m), Zone: long, Incarnation: 1, Server: &thwire.Server{Service: long, Instance: long, Slots: 1, State: thwire.ServerReady}})
 			}
 			return thwire.TypeUpdate, u
 		}},
