--- a/thdaemon/toldlimit.go
+++ b/thdaemon/neighbourlimit.go
@@ -17,32 +17,32 @@
 	return thwire.TypeServerLimit, &thwire.ServerLimit{Instance: instance, Rate: rate}
 }
 
-// handleToldLimit handles a neighbour's message about the limit of the local backend server.
-func (l *localServer) handleToldLimit(from string, payload []byte) {
-	var told thwire.ServerLimit
-	if err := thwire.Decode(payload, &told); err != nil {
+// handleNeighbourLimit handles a neighbour's message about the limit of the local backend server.
+func (l *localServer) handleNeighbourLimit(from string, payload []byte) {
+	var limit thwire.ServerLimit
+	if err := thwire.Decode(payload, &limit); err != nil {
 		l.Log.Warn("ignoring malformed limit of an instance", "from", from, "error", err)
 		return
 	}
-	if told.Instance == "" || !(told.Rate > 0) || math.IsInf(told.Rate, 1) {
-		l.Log.Warn("ignoring invalid limit of an instance", "from", from, "instance", told.Instance, "limit", told.Rate)
+	if limit.Instance == "" || !(limit.Rate > 0) || math.IsInf(limit.Rate, 1) {
+		l.Log.Warn("ignoring invalid limit of an instance", "from", from, "instance", limit.Instance, "limit", limit.Rate)
 		return
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if told.Instance == l.toldLimit.Instance && told.Rate >= l.toldLimit.Rate {
+	if limit.Instance == l.neighbourLimit.Instance && limit.Rate >= l.neighbourLimit.Rate {
 		return
 	}
-	l.toldLimit = told
-	l.adoptToldLimit()
-	l.Log.Info("neighbour knows the limit of an instance", "from", from, "instance", told.Instance, "limit", told.Rate,
+	l.neighbourLimit = limit
+	l.adoptNeighbourLimit()
+	l.Log.Info("neighbour knows the limit of an instance", "from", from, "instance", limit.Instance, "limit", limit.Rate,
 		"current", l.instance)
 }
 
-// adoptToldLimit applies the limit that neighbours have told if it is that of the current
+// adoptNeighbourLimit applies the limit that neighbours know if it is that of the current
 // instance. The mutex is held.
-func (l *localServer) adoptToldLimit() {
-	if l.instance != "" && l.toldLimit.Instance == l.instance {
-		l.scheduler.AdoptLimit(l.toldLimit.Rate)
+func (l *localServer) adoptNeighbourLimit() {
+	if l.instance != "" && l.neighbourLimit.Instance == l.instance {
+		l.scheduler.AdoptLimit(l.neighbourLimit.Rate)
 	}
 }
--- a/thdaemon/toldlimit_test.go
+++ b/thdaemon/neighbourlimit_test.go
@@ -16,16 +16,16 @@
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
-// Guards against a limit that neighbours have told being forgotten with the first heartbeat,
+// Guards against a limit that neighbours know being forgotten with the first heartbeat,
 // applied to another instance, or kept against the first response of the backend server.
-func TestToldLimitHoldsUntilTheFirstResponse(t *testing.T) {
+func TestNeighbourLimitHoldsUntilTheFirstResponse(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	d := &Daemon{node: &thmember.Node{}, replica: &fixedReplica{}, Clock: clock, Log: hclog.NewNullLogger()}
 	l := &localServer{Daemon: d, scheduler: &thadmit.Scheduler{Clock: clock}}
 	tell := func(instance string, rate float64) {
 		payload, err := (&thwire.ServerLimit{Instance: instance, Rate: rate}).MarshalMsg(nil)
 		assert.NilError(t, err)
-		l.handleToldLimit("neighbour", payload)
+		l.handleNeighbourLimit("neighbour", payload)
 	}
 	heartbeat := func(instance string) {
 		l.update(&thserver.Entry{Heartbeat: thserver.Heartbeat{Service: "page", Instance: instance, Slots: 20}})
@@ -34,7 +34,7 @@
 	for _, odd := range []float64{0, -1, math.NaN(), math.Inf(1)} {
 		tell("i-1", odd)
 	}
-	l.handleToldLimit("neighbour", []byte{0xc1})
+	l.handleNeighbourLimit("neighbour", []byte{0xc1})
 	tell("", 3)
 	tell("i-1", 7)
 	tell("i-1", 5)
@@ -53,8 +53,8 @@
 	assert.Equal(t, rate(), 0.0)
 }
 
-// Guards against daemons that are told nothing of the limit that an ingress knows, or are
-// told of servers without one.
+// Guards against a daemon that does not learn of the limit that another one knows, or learns
+// of a limit of servers without one.
 func TestGreetingNamesTheStatedLimit(t *testing.T) {
 	d := &Daemon{balancer: &thbalance.Balancer{}}
 	tables := &thconfig.Tables{Pools: []thconfig.Pool{{Name: "page", Service: "page", Version: ""}}}
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -59,7 +59,7 @@
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
 	d.node.Handle(thwire.TypeDeparture, departures.handleMessage)
-	d.node.Handle(thwire.TypeServerLimit, local.handleToldLimit)
+	d.node.Handle(thwire.TypeServerLimit, local.handleNeighbourLimit)
 	d.node.Greeting = d.greeting
 	d.replica.Watch(func(*thsync.Snapshot) {
 		if e := registry.Current(); e != nil {
@@ -73,14 +73,14 @@
 type localServer struct {
 	*Daemon
 
-	registry   *thserver.Registry
-	scheduler  *thadmit.Scheduler
-	departures *departureRecorder
-	mutex      sync.Mutex // guards the fields below and serialises changes
-	instance   string
-	startTime  time.Time // of the instance
-	limitLog   limitLog
-	toldLimit  thwire.ServerLimit // lowest limit that other daemons have told of an instance
+	registry       *thserver.Registry
+	scheduler      *thadmit.Scheduler
+	departures     *departureRecorder
+	mutex          sync.Mutex // guards the fields below and serialises changes
+	instance       string
+	startTime      time.Time // of the instance
+	limitLog       limitLog
+	neighbourLimit thwire.ServerLimit // lowest limit that neighbours know of an instance
 }
 
 // coldRateFraction is the fraction of the additional rate allowed to a cold backend
@@ -96,7 +96,7 @@
 	if e.Instance != l.instance || !e.StartTime.Equal(l.startTime) {
 		l.instance, l.startTime = e.Instance, e.StartTime
 		l.scheduler.ResetPacing()
-		l.adoptToldLimit()
+		l.adoptNeighbourLimit()
 	}
 	rate := 0.0
 	if s := l.replica.Current(); s != nil {
