Don't take a reset during an upload for the end of a response

Cause: the kernel reports a reset once. If the write of the upload gets it, the read sees only the end of the connection, which also ends a response without a length. The result of the write was used for the reuse of the connection only. Besides, the connection was closed after a failed write, which lost whole responses that had arrived before.

Why the fix works: the end of a connection counts as the end of a response only if no write has failed, and no error of the socket is left. A server that closes a connection with a request on its way resets it at once, or, if it has read all bytes that have arrived, at the next ones: the reset follows the end.

--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -69,32 +68,6 @@
 	return context.WithValue(ctx, newConnectionKey{}, true)
 }
 
-// directConn is a connection that carries at most one request at a time.
-type directConn struct {
-	net.Conn
-	address       string
-	reader        *bufio.Reader
-	expires       time.Time // not reused from then on
-	mismatched    bool      // carried a response to another request
-	headBytesLeft int       // bytes that the header being read may still have; negative means no limit
-}
-
-// Read reads from the connection. It fails if a response header exceeds
-// maxHeaderBytes.
-func (c *directConn) Read(p []byte) (int, error) {
-	if c.headBytesLeft == 0 {
-		return 0, therror.New(therror.Broken, "response header exceeds %d bytes", maxHeaderBytes)
-	}
-	if c.headBytesLeft > 0 && len(p) > c.headBytesLeft {
-		p = p[:c.headBytesLeft]
-	}
-	n, err := c.Conn.Read(p)
-	if c.headBytesLeft > 0 {
-		c.headBytesLeft -= n
-	}
-	return n, err
-}
-
 // RoundTrip sends one request. The caller must close the response body.
 func (d *DirectTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
@@ -208,7 +181,7 @@
 	if err != nil {
 		return nil, therror.Wrap(therror.Unready, err, "connect to the backend server")
 	}
-	c := &directConn{Conn: n, address: address, headBytesLeft: -1}
+	c := &directConn{Conn: n, address: address, headBytesLeft: -1, clock: thclock.OrSystem(d.Clock)}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -249,29 +222,6 @@
 	return slices.ContainsFunc(d.idle, func(c *directConn) bool { return c.address == address && c.isIdle() })
 }
 
-// isIdle reports whether a connection is open and has no unread input.
-func (c *directConn) isIdle() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noInput := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && noInput
-}
-
 // idleTimeout returns how long a connection may stay idle by the Keep-Alive
 // header of a response, less a margin; false if the header has no timeout.
 func idleTimeout(h http.Header) (time.Duration, bool) {
@@ -327,7 +277,12 @@
 			return err
 		}
 		x.bodySent = make(chan error, 1)
-		go func() { x.bodySent <- x.streamBody(r) }()
+		written := make(chan struct{})
+		x.conn.bodyWritten = written
+		go func() {
+			x.bodySent <- x.streamBody(r)
+			close(written)
+		}()
 		return nil
 	}
 	_, err := x.conn.Write(b.Bytes())
@@ -335,7 +290,8 @@
 }
 
 // streamBody sends a long body. If the body ends early, it closes the connection,
-// so that the server can't read the next request as the rest of the body.
+// so that the server can't read the next request as the rest of the body. After a failed
+// write it does not: a response that arrived before may still be read.
 func (x *exchange) streamBody(r *http.Request) error {
 	var err error
 	if r.ContentLength > 0 {
@@ -353,7 +309,7 @@
 			_, err = io.WriteString(x.conn, "\r\n")
 		}
 	}
-	if err != nil {
+	if err != nil && x.conn.failedWrite() == nil {
 		_ = x.conn.Close()
 	}
 	return err
