End blocked writes of a call with its response

What callers saw: the end of a complete response to a long upload only at the deadline of the call, when the backend server had not read the upload.

Cause: the ingress ends a call when the upload's writer has returned. A writer that waits for credit, or for room in the send queue, was not woken when the response had ended or its stream was discarded. handleEnd did signal the writer, but that only checked for a failure and waited again.

Change: a stream has a channel that is closed when no more may be written; all waits of a writer end with it.

Ruled out: the daemon beside the server. With a local target the same responses took milliseconds.

--- a/thwire/flow.go
+++ b/thwire/flow.go
@@ -16,6 +16,9 @@
 	maxDataFrame    = 32 << 10  // data of a single frame, so that streams interleave
 )
 
+// errWritesEnded is the error of a write after the peer has ended the call.
+var errWritesEnded = therror.Wrap(therror.Cancelled, io.ErrClosedPipe, "the call has ended")
+
 var errFinished = therror.New(therror.Cancelled, "the stream has finished")
 
 // flow is the part of a stream that both sides share: the received data and the flow
@@ -34,12 +37,14 @@
 	sendWindow    int   // bytes that this side may still send
 	readable      chan struct{}
 	writable      chan struct{}
+	writesEnded   bool
+	writesDone    chan struct{} // closed when no more may be written
 }
 
 func (f *flow) init(s *Session, id uint32, t Type) {
 	f.session, f.id, f.dataType = s, id, t
 	f.sendWindow, f.receiveWindow = initialWindow, initialWindow
-	f.readable, f.writable = make(chan struct{}, 1), make(chan struct{}, 1)
+	f.readable, f.writable, f.writesDone = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 }
 
 // signal wakes the receiver of c, which has a buffer of one, without blocking.
@@ -76,6 +81,14 @@
 	signal(f.readable)
 }
 
+// endWrites ends blocked and later writes. The mutex is held.
+func (f *flow) endWrites() {
+	if !f.writesEnded {
+		f.writesEnded = true
+		close(f.writesDone)
+	}
+}
+
 // fail ends both directions with err and frees the buffered data. Only the first error
 // is kept.
 func (f *flow) fail(err error) {
@@ -85,12 +98,12 @@
 		f.session.buffered.Add(-int64(f.received.Len()))
 		f.received = bytes.Buffer{}
 	}
+	f.endWrites()
 	f.mutex.Unlock()
 	signal(f.readable)
-	signal(f.writable)
 }
 
-// discard frees the buffered data and drops data that still arrives.
+// discard ends both directions, frees the buffered data and drops data that still arrives.
 func (f *flow) discard() {
 	f.mutex.Lock()
 	if f.failure == nil {
@@ -98,7 +111,9 @@
 	}
 	f.session.buffered.Add(-int64(f.received.Len()))
 	f.received = bytes.Buffer{}
+	f.endWrites()
 	f.mutex.Unlock()
+	signal(f.readable)
 }
 
 // addCredit extends the send window.
@@ -161,15 +176,26 @@
 		if err != nil {
 			return total, err
 		}
-		if err := f.session.sendData(ctx, f.dataType, f.id, p[:n]); err != nil {
-			return total, err
+		if err := f.session.sendData(ctx, f.writesDone, f.dataType, f.id, p[:n]); err != nil {
+			return total, f.writeError(err)
 		}
 		p, total = p[n:], total+n
 	}
 	return total, nil
 }
 
-// reserve waits until the send window is open and takes up to limit bytes of it.
+// writeError returns the failure of the stream, or err if it has not failed.
+func (f *flow) writeError(err error) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.failure != nil {
+		return f.failure
+	}
+	return err
+}
+
+// reserve waits until the send window is open and takes up to limit bytes of it. The error is
+// errWritesEnded if no more may be written and the stream has not failed.
 func (f *flow) reserve(ctx context.Context, limit int) (int, error) {
 	for {
 		f.mutex.Lock()
@@ -177,6 +203,10 @@
 			defer f.mutex.Unlock()
 			return 0, f.failure
 		}
+		if f.writesEnded {
+			defer f.mutex.Unlock()
+			return 0, errWritesEnded
+		}
 		if n := min(limit, f.sendWindow); n > 0 {
 			f.sendWindow -= n
 			f.mutex.Unlock()
@@ -185,6 +215,7 @@
 		f.mutex.Unlock()
 		select {
 		case <-f.writable:
+		case <-f.writesDone:
 		case <-ctx.Done():
 			return 0, contextError(ctx)
 		}
--- a/thwire/send_queue.go
+++ b/thwire/send_queue.go
@@ -56,8 +56,8 @@
 // addBelowSoftLimit appends frames like add once the queue is within its soft limit. The
 // writers that wait for that are woken together, so each one checks the limit again before it
 // appends: all of them at once would exceed the hard limit. The error is the cause of ctx if
-// that ends first.
-func (q *sendQueue) addBelowSoftLimit(ctx context.Context, encode func([]byte) ([]byte, error)) (bool, error) {
+// that ends first, or errWritesEnded if writesDone is closed first.
+func (q *sendQueue) addBelowSoftLimit(ctx context.Context, writesDone <-chan struct{}, encode func([]byte) ([]byte, error)) (bool, error) {
 	for {
 		q.mutex.Lock()
 		if q.closed || len(q.pending) <= softQueueLimit {
@@ -72,6 +72,8 @@
 		q.mutex.Unlock()
 		select {
 		case <-c:
+		case <-writesDone:
+			return true, errWritesEnded
 		case <-ctx.Done():
 			return true, context.Cause(ctx)
 		}
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -201,10 +201,13 @@
 }
 
 // sendData queues a raw frame once the send queue has room for it. The error is that of an
-// ended ctx.
-func (s *Session) sendData(ctx context.Context, t Type, id uint32, data []byte) error {
-	ok, err := s.out.addBelowSoftLimit(ctx, func(b []byte) ([]byte, error) { return AppendRaw(b, t, id, data) })
-	if err != nil && ctx.Err() != nil {
+// ended ctx, or errWritesEnded if writesDone is closed before.
+func (s *Session) sendData(ctx context.Context, writesDone <-chan struct{}, t Type, id uint32, data []byte) error {
+	ok, err := s.out.addBelowSoftLimit(ctx, writesDone, func(b []byte) ([]byte, error) { return AppendRaw(b, t, id, data) })
+	switch {
+	case errors.Is(err, errWritesEnded):
+		return err
+	case err != nil && ctx.Err() != nil:
 		return contextError(ctx)
 	}
 	s.checkQueued(ok, err)
--- a/thwire/stream.go
+++ b/thwire/stream.go
@@ -64,10 +64,10 @@
 		return therror.New(therror.Frame, "stream %d: end without head", s.id)
 	}
 	s.end, s.load, s.remoteEnded = e, &e.Load, true
+	s.endWrites()
 	s.mutex.Unlock()
 	s.session.remove(s.id)
 	signal(s.readable)
-	signal(s.writable)
 	return nil
 }
 
