Read responses of backend servers with strict field names and values

What callers saw: a response in whose head the name of a field held a blank as a valid one, with that line passed on. The same in informational responses, trailers and responses that are skipped.

Cause: http.ReadResponse accepts names with blanks, and does not take them for the field that they nearly name. A line that begins with a blank it appends to the value of the line before.

Change: thhead.ReadResponse reads heads, framing and trailers. Names are tokens, values hold no control bytes, and a line that begins with a blank is an error (RFC 9112, 5.2: a proxy replaces or rejects it). Status lines and framing are read as before; they follow. The limit of a head holds for trailers too.

--- /dev/null
+++ b/thhead/response.go
@@ -0,0 +1,164 @@
+package thhead
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// typicalHead is the initial size of the buffer of a head, in bytes.
+const typicalHead = 512
+
+// ReadResponse reads the head of the next response to a request with the method, and returns
+// it with its body. A response with an informational status (1xx) is returned like others and
+// has no body. A head and a trailer may each have limit bytes; the body reads the trailer at its
+// end. Errors are those of the reader, io.ErrUnexpectedEOF, or say what is not in the grammar.
+func ReadResponse(r *bufio.Reader, method string, limit int) (*http.Response, error) {
+	head, err := readLines(r, limit)
+	if err != nil {
+		return nil, err
+	}
+	line, lines, _ := strings.Cut(head, "\n")
+	response := &http.Response{}
+	if err := parseStatusLine(response, strings.TrimSuffix(line, "\r")); err != nil {
+		return nil, err
+	}
+	if response.Header, err = parseFields(lines); err != nil {
+		return nil, err
+	}
+	if err := parseFraming(response, method); err != nil {
+		return nil, err
+	}
+	response.Body = newBody(response, r, method, limit)
+	return response, nil
+}
+
+// readLines reads up to an empty line and returns the lines before it, each with its end.
+func readLines(r *bufio.Reader, limit int) (string, error) {
+	var b strings.Builder
+	b.Grow(typicalHead)
+	for start := true; ; {
+		part, err := r.ReadSlice('\n')
+		whole := err == nil
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return "", err
+		}
+		if start && (string(part) == "\r\n" || string(part) == "\n") {
+			return b.String(), nil
+		}
+		if b.Len()+len(part) > limit {
+			return "", fmt.Errorf("head or trailer exceeds %d bytes", limit)
+		}
+		b.Write(part)
+		start = whole
+	}
+}
+
+// parseStatusLine sets the version and the status of a response.
+func parseStatusLine(response *http.Response, line string) error {
+	version, rest, _ := strings.Cut(line, " ")
+	major, minor, ok := http.ParseHTTPVersion(version)
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if !ok || err != nil || len(code) != 3 || status < 0 {
+		return fmt.Errorf("malformed status line %.40q", line)
+	}
+	response.Proto, response.ProtoMajor, response.ProtoMinor = version, major, minor
+	response.Status, response.StatusCode = rest, status
+	return nil
+}
+
+// parseFraming sets how the body of a response is delimited: by a length, by chunks or, with
+// neither, by the end of the connection. ContentLength is negative for the latter two.
+func parseFraming(response *http.Response, method string) error {
+	h := response.Header
+	length, err := contentLength(h["Content-Length"])
+	if err != nil {
+		return err
+	}
+	if length >= 0 {
+		h["Content-Length"] = h["Content-Length"][:1]
+	}
+	if coding := h["Transfer-Encoding"]; response.ProtoMinor > 0 && len(coding) > 0 {
+		if len(coding) > 1 || !strings.EqualFold(coding[0], "chunked") {
+			return fmt.Errorf("unsupported transfer coding %.40q", strings.Join(coding, ", "))
+		}
+		response.TransferEncoding = []string{"chunked"}
+		length = -1
+	}
+	if response.Trailer, err = declaredTrailer(h["Trailer"]); err != nil {
+		return err
+	}
+	closes := httpguts.HeaderValuesContainsToken(h["Connection"], "close")
+	switch {
+	case response.ProtoMinor == 0:
+		response.Close = closes || !httpguts.HeaderValuesContainsToken(h["Connection"], "keep-alive")
+	default:
+		response.Close = closes
+	}
+	switch {
+	case method == http.MethodHead:
+		response.ContentLength = length
+	case !allowsBody(response.StatusCode):
+		response.ContentLength = 0
+	default:
+		response.ContentLength = length
+		response.Close = response.Close || length < 0 && len(response.TransferEncoding) == 0
+	}
+	return nil
+}
+
+// allowsBody reports whether a response with the status may have a body.
+func allowsBody(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// contentLength parses the values of Content-Length, which must not differ; -1 without one.
+func contentLength(values []string) (int64, error) {
+	if len(values) == 0 {
+		return -1, nil
+	}
+	n, err := strconv.ParseUint(values[0], 10, 63)
+	if err != nil {
+		return 0, fmt.Errorf("invalid Content-Length %.40q", values[0])
+	}
+	for _, v := range values[1:] {
+		if v != values[0] {
+			return 0, fmt.Errorf("Content-Length %.40q differs from %.40q", v, values[0])
+		}
+	}
+	return int64(n), nil
+}
+
+// declaredTrailer returns a trailer with the names that the Trailer header declares, without
+// values.
+func declaredTrailer(values []string) (http.Header, error) {
+	if len(values) == 0 {
+		return nil, nil
+	}
+	trailer := http.Header{}
+	for _, v := range values {
+		for name := range strings.SplitSeq(v, ",") {
+			name = textproto.TrimString(name)
+			if err := CheckField(name, ""); err != nil {
+				return nil, err
+			}
+			switch name = textproto.CanonicalMIMEHeaderKey(name); name {
+			case "Content-Length", "Transfer-Encoding", "Trailer":
+				return nil, fmt.Errorf("trailer declares %s", name)
+			}
+			trailer[name] = nil
+		}
+	}
+	return trailer, nil
+}
--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -19,12 +19,13 @@
 
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhead"
 )
 
 // Limits of a DirectTransport.
 const (
 	connectTimeout = time.Second
-	maxHeaderBytes = 64 << 10 // status line and header of a response
+	maxHeaderBytes = 64 << 10 // status line and header of a response, or its trailer
 	readBufferSize = 8 << 10  // bytes
 	// maxInlineBody is the largest request body, in bytes, that is sent in one write
 	// with the header. A longer body is sent while the response is read, since the
@@ -181,7 +182,7 @@
 	if err != nil {
 		return nil, therror.Wrap(therror.Unready, err, "connect to the backend server")
 	}
-	c := &directConn{Conn: n, address: address, headBytesLeft: -1, clock: thclock.OrSystem(d.Clock)}
+	c := &directConn{Conn: n, address: address, clock: thclock.OrSystem(d.Clock)}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -347,12 +348,10 @@
 // readResponse reads responses until a final one repeats the request ID.
 func (x *exchange) readResponse(r *http.Request, name string) (*http.Response, error) {
 	for range maxSkipped {
-		x.conn.headBytesLeft = maxHeaderBytes
-		response, err := http.ReadResponse(x.conn.reader, r)
+		response, err := thhead.ReadResponse(x.conn.reader, r.Method, maxHeaderBytes)
 		if err != nil {
 			return nil, err
 		}
-		x.conn.headBytesLeft = -1
 		if response.StatusCode < 200 {
 			continue
 		}
--- a/thproxy/direct_conn.go
+++ b/thproxy/direct_conn.go
@@ -25,11 +25,10 @@
 // directConn is a connection that carries at most one request at a time.
 type directConn struct {
 	net.Conn
-	address       string
-	reader        *bufio.Reader
-	expires       time.Time // not reused from then on
-	mismatched    bool      // carried a response to another request
-	headBytesLeft int       // bytes that the header being read may still have; negative means no limit
+	address    string
+	reader     *bufio.Reader
+	expires    time.Time // not reused from then on
+	mismatched bool      // carried a response to another request
 
 	clock       clockwork.Clock
 	bodyWritten chan struct{} // closed at the end of streamBody; nil if it does not run
@@ -37,19 +36,9 @@
 	writeError  error         // of the first write that failed
 }
 
-// Read reads from the connection. It fails if a response header exceeds
-// maxHeaderBytes. It returns io.EOF only if the server has ended the connection in order.
+// Read reads from the connection. It returns io.EOF only if the server has ended it in order.
 func (c *directConn) Read(p []byte) (int, error) {
-	if c.headBytesLeft == 0 {
-		return 0, therror.New(therror.Broken, "response header exceeds %d bytes", maxHeaderBytes)
-	}
-	if c.headBytesLeft > 0 && len(p) > c.headBytesLeft {
-		p = p[:c.headBytesLeft]
-	}
 	n, err := c.Conn.Read(p)
-	if c.headBytesLeft > 0 {
-		c.headBytesLeft -= n
-	}
 	if err == io.EOF {
 		err = c.endError()
 	}
--- /dev/null
+++ b/thproxy/malformed_test.go
@@ -0,0 +1,111 @@
+package thproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/turmerichaven/turmerichaven/thwire"
+)
+
+// A complete response, which must not reach the caller from behind a malformed head.
+const innerResponse = "HTTP/1.1 200 OK\r\n" + testIDHeader + ": a\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\ninner"
+
+// callServerThatSends calls a backend server that answers with bytes and closes the connection, and
+// returns the response with what came of its body.
+func callServerThatSends(t *testing.T, bytes string, local bool) (*http.Response, string, error) {
+	address := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+		if readRequest(r) != "" {
+			_, _ = io.WriteString(c, bytes)
+		}
+	})
+	m := newMesh(t, nonIdempotentRoute, http.HandlerFunc(echoHandler))
+	headers := &Headers{RequestID: testIDHeader, Stamp: "X-Stamp", Deadline: HeaderDeadline}
+	m.ingress.Headers, m.targets[0].Headers = headers, headers
+	m.targets[0].Transport.(*DirectTransport).Headers = headers
+	m.targets[0].Server = func() (thwire.Server, netip.AddrPort, bool) {
+		return thwire.Server{State: thwire.ServerReady}, netip.MustParseAddrPort(address), true
+	}
+	if local {
+		m.ingress.Local, m.ingress.Self = m.targets[0], m.balancer.members[0].Name
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, m.front.URL+"/x", nil)
+	assert.NilError(t, err)
+	request.Header.Set(testIDHeader, "a")
+	response, err := m.client.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// expectNoResponse checks that a caller gets 502 for bytes that are no response, at once.
+func expectNoResponse(t *testing.T, what, bytes string) {
+	for _, local := range []bool{true, false} {
+		start := time.Now()
+		response, body, err := callServerThatSends(t, bytes, local)
+		assert.Check(t, err, "%s: %q", what, bytes)
+		assert.Check(t, response.StatusCode == http.StatusBadGateway && response.Header.Get("X-Stamp") == "",
+			"%s: %q is a response: %d %v %q", what, bytes, response.StatusCode, response.Header, body)
+		assert.Check(t, time.Since(start) < promptly, "%s: %q took %s", what, bytes, time.Since(start))
+	}
+}
+
+// malformedFields are lines that are not in the grammar of a header.
+var malformedFields = map[string]string{
+	"blank in the name":             "X Bad: 1",
+	"blank before the colon":        "X-Bad : 1",
+	"blank before a length's colon": "Content-Length : 4",
+	"blank before a coding's colon": "Transfer-Encoding : chunked",
+	"blank before the name":         " X-Bad: 1",
+	"tab before the name":           "\tX-Bad: 1",
+	"tab before the colon":          "X-Bad\t: 1",
+	"control byte in the name":      "X-\x01Bad: 1",
+	"zero byte in the name":         "X-\x00Bad: 1",
+	"carriage return in the name":   "X-\rBad: 1",
+	"delete byte in the name":       "X-\x7fBad: 1",
+	"byte above ASCII in the name":  "X-\xe9Bad: 1",
+	"separator in the name":         "X-(Bad): 1",
+	"slash in the name":             "X/Bad: 1",
+	"empty name":                    ": 1",
+	"no colon":                      "X-Bad",
+	"control byte in the value":     "X-Bad: a\x01b",
+	"zero byte in the value":        "X-Bad: a\x00b",
+	"delete byte in the value":      "X-Bad: a\x7fb",
+	"carriage return in the value":  "X-Bad: a\rb",
+}
+
+// Guards against a response with a malformed field that reaches the caller, with that line passed on
+// or with a body that is not the server's.
+func TestMalformedHeaderFieldIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + testIDHeader + ": a\r\nX-Stamp: s\r\n"
+	for name, line := range malformedFields {
+		expectNoResponse(t, name+", last", head+"Content-Length: 4\r\n"+line+"\r\n\r\nabcd"+innerResponse)
+		expectNoResponse(t, name+", in the middle", head+line+"\r\nContent-Length: 4\r\n\r\nabcd")
+		expectNoResponse(t, name+", first", "HTTP/1.1 200 OK\r\n"+line+"\r\n"+strings.TrimPrefix(head, "HTTP/1.1 200 OK\r\n")+"Content-Length: 4\r\n\r\nabcd")
+		expectNoResponse(t, name+", no length", head+line+"\r\n\r\nabcd")
+		expectNoResponse(t, name+", lines end without carriage return", strings.ReplaceAll(head+line+"\r\nContent-Length: 4\r\n\r\nabcd", "\r\n", "\n"))
+		expectNoResponse(t, name+", informational", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+innerResponse)
+		expectNoResponse(t, name+", response to another request", "HTTP/1.1 200 OK\r\n"+testIDHeader+": b\r\nContent-Length: 0\r\n"+line+"\r\n\r\n"+innerResponse)
+	}
+}
+
+// Guards against a malformed trailer behind which a response counts as complete.
+func TestMalformedTrailerFieldIsNoEndOfResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + testIDHeader + ": a\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n"
+	for name, line := range malformedFields {
+		for _, declared := range []string{"", "Trailer: X-Sum\r\n"} {
+			for _, local := range []bool{true, false} {
+				response, body, err := callServerThatSends(t, head+declared+"\r\n4\r\nabcd\r\n0\r\nX-Sum: 1\r\n"+line+"\r\n\r\n", local)
+				assert.Check(t, err != nil || response.StatusCode == http.StatusBadGateway, "%s: %d %q %v", name, response.StatusCode, body, response.Trailer)
+			}
+		}
+	}
+}
