Reject status lines that are not of HTTP/1 with a status from 100 to 599

Cause: the status was parsed as a number with an optional sign, and all below 200 counted as informational. Any version of one digit was accepted.

Decided: 600 to 999 are in the grammar, but invalid (RFC 9110, 15): a client is to handle them as 5xx, so a proxy answers 502. The blank before an empty reason may be missing, as some servers send it so and nothing depends on it.

--- a/thhead/response.go
+++ b/thhead/response.go
@@ -64,17 +64,33 @@
 	}
 }
 
-// parseStatusLine sets the version and the status of a response.
+// parseStatusLine sets the version and the status of a response. The blank before an empty
+// reason may be missing. Status codes above 599 are errors, like codes that are not in the
+// grammar: they have no class by which a client could handle them (RFC 9110, section 15).
 func parseStatusLine(response *http.Response, line string) error {
-	version, rest, _ := strings.Cut(line, " ")
-	major, minor, ok := http.ParseHTTPVersion(version)
-	code, _, _ := strings.Cut(rest, " ")
-	status, err := strconv.Atoi(code)
-	if !ok || err != nil || len(code) != 3 || status < 0 {
-		return fmt.Errorf("malformed status line %.40q", line)
-	}
-	response.Proto, response.ProtoMajor, response.ProtoMinor = version, major, minor
-	response.Status, response.StatusCode = rest, status
+	version, status, _ := strings.Cut(line, " ")
+	code, reason, _ := strings.Cut(status, " ")
+	minor, isHTTP1 := strings.CutPrefix(version, "HTTP/1.")
+	switch {
+	case !isHTTP1 || len(minor) != 1 || !isDigit(minor[0]):
+		return fmt.Errorf("status line %.40q is not of HTTP/1", line)
+	case len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]):
+		return fmt.Errorf("status line %.40q has no status code of three digits", line)
+	case !httpguts.ValidHeaderFieldValue(reason):
+		return fmt.Errorf("reason of status line %.40q holds a control byte", line)
+	}
+	response.StatusCode = 100*int(code[0]-'0') + 10*int(code[1]-'0') + int(code[2]-'0')
+	response.Proto, response.ProtoMajor, response.ProtoMinor, response.Status = version, 1, int(minor[0]-'0'), status
+	return CheckStatus(response.StatusCode)
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// CheckStatus returns an error unless a status code is from 100 to 599.
+func CheckStatus(status int) error {
+	if status < 100 || status > 599 {
+		return fmt.Errorf("status code %03d is not from 100 to 599", status)
+	}
 	return nil
 }
 
--- a/thproxy/direct.go
+++ b/thproxy/direct.go
@@ -352,7 +352,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < 200 {
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, therror.New(therror.Broken, "backend server switched protocols without being asked to")
+		case response.StatusCode < 200:
 			continue
 		}
 		if name == "" || response.Header.Get(name) == r.Header.Get(name) {
--- a/thproxy/malformed_test.go
+++ b/thproxy/malformed_test.go
@@ -109,3 +109,27 @@
 		}
 	}
 }
+
+// Guards against a response with an invalid status line that reaches the caller, and against one
+// that hides in its body.
+func TestMalformedStatusLineIsNoResponse(t *testing.T) {
+	const fields = "\r\n" + testIDHeader + ": a\r\nX-Stamp: s\r\n"
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2 OK",
+		"HTTP/1.1 2000 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 0x2 OK", "HTTP/1.1 200.1 OK", "HTTP/1.1 2_0 OK",
+		"HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200OK", "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK",
+		"HTTP/2.0 200 OK", "HTTP/2 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 200 OK", "HTTP/9.9 200 OK", "HTTP/1.10 200 OK", "HTTP/01.1 200 OK",
+		"HTTP/1. 200 OK", "HTTP/1 200 OK", "HTTP/1.x 200 OK", "http/1.1 200 OK", "HTTPS/1.1 200 OK", "HTTP 200 OK", "200 OK", "",
+		"HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK", "HTTP/1.1 200 O\rK",
+	} {
+		expectNoResponse(t, line, line+fields+"Content-Length: 4\r\n\r\nabcd")
+		expectNoResponse(t, line, line+fields+"Content-Length: 0\r\n\r\n")
+		expectNoResponse(t, line, line+fields+"\r\nabcd")
+		expectNoResponse(t, line, line+fields+"\r\n"+innerResponse)
+		expectNoResponse(t, line, line+fields+"Content-Length: 99\r\n\r\n"+innerResponse)
+		expectNoResponse(t, line, line+"\r\n\r\n"+innerResponse)
+	}
+	// No request asks for another protocol.
+	expectNoResponse(t, "protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"+innerResponse)
+	expectNoResponse(t, "protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n"+innerResponse)
+}
