Reject responses with framing that can be read in two ways

Cause: net/http ignores the coding in HTTP/1.0 and the length beside a coding, and what follows an informational response is read as the next one.

Decided: a length beside a coding "ought to be handled as an error", and an HTTP/1.0 message with a coding has faulty framing (RFC 9112, 6.1 and 6.3). A 204 ends with its head whatever its fields say (6.3): it is passed on, and the bytes behind it end the connection.

--- a/thhead/response.go
+++ b/thhead/response.go
@@ -95,7 +95,9 @@
 }
 
 // parseFraming sets how the body of a response is delimited: by a length, by chunks or, with
-// neither, by the end of the connection. ContentLength is negative for the latter two.
+// neither, by the end of the connection. ContentLength is negative for the latter two. Framing
+// that another reader could take otherwise is an error (RFC 9112, section 6). What follows an
+// informational response would be read as the next one, so it must not announce a body.
 func parseFraming(response *http.Response, method string) error {
 	h := response.Header
 	length, err := contentLength(h["Content-Length"])
@@ -105,12 +107,19 @@
 	if length >= 0 {
 		h["Content-Length"] = h["Content-Length"][:1]
 	}
-	if coding := h["Transfer-Encoding"]; response.ProtoMinor > 0 && len(coding) > 0 {
-		if len(coding) > 1 || !strings.EqualFold(coding[0], "chunked") {
+	if coding := h["Transfer-Encoding"]; len(coding) > 0 {
+		switch {
+		case len(coding) > 1 || !strings.EqualFold(coding[0], "chunked"):
 			return fmt.Errorf("unsupported transfer coding %.40q", strings.Join(coding, ", "))
+		case response.ProtoMinor == 0:
+			return errors.New("transfer coding in HTTP/1.0")
+		case length >= 0:
+			return errors.New("both a transfer coding and a Content-Length")
 		}
 		response.TransferEncoding = []string{"chunked"}
-		length = -1
+	}
+	if response.StatusCode < 200 && (length > 0 || len(response.TransferEncoding) > 0) {
+		return fmt.Errorf("body announced with informational status %d", response.StatusCode)
 	}
 	if response.Trailer, err = declaredTrailer(h["Trailer"]); err != nil {
 		return err
--- a/thproxy/malformed_test.go
+++ b/thproxy/malformed_test.go
@@ -133,3 +133,67 @@
 	expectNoResponse(t, "protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"+innerResponse)
 	expectNoResponse(t, "protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n"+innerResponse)
 }
+
+// Guards against a response that another reader could delimit differently, and whose body or
+// rest reaches the caller.
+func TestAmbiguousFramingIsNoResponse(t *testing.T) {
+	const head = " 200 OK\r\n" + testIDHeader + ": a\r\nX-Stamp: s\r\n"
+	const chunks = "4\r\nabcd\r\n0\r\n\r\n"
+	for name, bytes := range map[string]string{
+		"length and coding":               "HTTP/1.1" + head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"coding and length":               "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n" + chunks,
+		"coding in HTTP/1.0":              "HTTP/1.0" + head + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"coding and length in HTTP/1.0":   "HTTP/1.0" + head + "Transfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n" + chunks,
+		"another coding":                  "HTTP/1.1" + head + "Transfer-Encoding: gzip\r\n\r\n" + chunks,
+		"two codings":                     "HTTP/1.1" + head + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks,
+		"chunked twice":                   "HTTP/1.1" + head + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks,
+		"chunked in two fields":           "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"empty coding":                    "HTTP/1.1" + head + "Transfer-Encoding:\r\n\r\n" + chunks,
+		"different lengths":               "HTTP/1.1" + head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+		"list of lengths":                 "HTTP/1.1" + head + "Content-Length: 4, 4\r\n\r\nabcd",
+		"length with a sign":              "HTTP/1.1" + head + "Content-Length: +4\r\n\r\nabcd",
+		"negative length":                 "HTTP/1.1" + head + "Content-Length: -4\r\n\r\nabcd",
+		"hexadecimal length":              "HTTP/1.1" + head + "Content-Length: 0x4\r\n\r\nabcd",
+		"length with a blank":             "HTTP/1.1" + head + "Content-Length: 4 4\r\n\r\nabcd",
+		"empty length":                    "HTTP/1.1" + head + "Content-Length:\r\n\r\nabcd",
+		"length above 63 bits":            "HTTP/1.1" + head + "Content-Length: 9223372036854775808\r\n\r\nabcd",
+		"informational with a length":     "HTTP/1.1 103 Early Hints\r\nContent-Length: 99\r\n\r\n" + innerResponse,
+		"informational with a coding":     "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + innerResponse,
+		"trailer that declares a length":  "HTTP/1.1" + head + "Trailer: Content-Length\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"trailer that declares no name":   "HTTP/1.1" + head + "Trailer: X Y\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"chunk size with a sign":          "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n+4\r\nabcd\r\n0\r\n\r\n",
+		"chunk size with a prefix":        "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n0x4\r\nabcd\r\n0\r\n\r\n",
+		"chunk size with a blank inside":  "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n0 4\r\nabcd\r\n0\r\n\r\n",
+		"chunk size with a blank before":  "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n 4\r\nabcd\r\n0\r\n\r\n",
+		"empty chunk size":                "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n\r\nabcd\r\n0\r\n\r\n",
+		"chunk size above 64 bits":        "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n10000000000000004\r\nabcd\r\n0\r\n\r\n",
+		"chunk longer than its size":      "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n0\r\n\r\n",
+		"chunk shorter than its size":     "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n6\r\nabcd\r\n0\r\n\r\n",
+		"line feed alone at a chunk size": "HTTP/1.1" + head + "Transfer-Encoding: chunked\r\n\r\n4\nabcd\r\n0\r\n\r\n",
+	} {
+		for _, local := range []bool{true, false} {
+			response, body, err := callServerThatSends(t, bytes, local)
+			assert.Check(t, err != nil || response.StatusCode == http.StatusBadGateway && response.Header.Get("X-Stamp") == "",
+				"%s: %d %q", name, response.StatusCode, body)
+		}
+	}
+}
+
+// A response with status 204 ends with its head, whatever its fields say. Guards against bytes
+// behind it that reach the caller of the next request on the connection.
+func TestBytesBehindNoContentReachNoCaller(t *testing.T) {
+	for _, line := range []string{"", "Content-Length: 0\r\n", "Content-Length: 99\r\n", "Transfer-Encoding: chunked\r\n"} {
+		address := serveConns(t, func(c net.Conn, r *bufio.Reader) {
+			for id := readRequest(r); id != ""; id = readRequest(r) {
+				_, _ = io.WriteString(c, "HTTP/1.1 204 No Content\r\n"+testIDHeader+": "+id+"\r\n"+line+"\r\n"+innerResponse)
+			}
+		})
+		d := &DirectTransport{Headers: &Headers{RequestID: testIDHeader}}
+		for range 3 {
+			body, err := sendRequest(t, d, address, "a", nil)
+			assert.NilError(t, err, line)
+			assert.Equal(t, body, "", line)
+			eventually(t, func() bool { return len(d.idle) == 0 || !d.idle[0].isIdle() })
+		}
+	}
+}
