Check the heads and trailers that other daemons send

What callers saw: nothing yet; by a faulty daemon, a response with status 600 or 999, or with malformed names and values, which thhttp writes as they are (MIXED: bytes that are no answer).

Cause: the ingress trusted the fields in frames, and any status from 200 to 999.

The check is that of thhead, for which the daemon beside the server uses the same.

--- a/thproxy/response.go
+++ b/thproxy/response.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhead"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
 
@@ -69,7 +70,7 @@
 // setHead sets the response header, which writeHead sends later. A second header
 // or an informational status is an error of kind Broken.
 func (a *responseWriter) setHead(head *thwire.Head) error {
-	if head.Status < 200 || head.Status > 999 || a.started {
+	if thhead.CheckStatus(head.Status) != nil || head.Status < 200 || a.started {
 		return therror.New(therror.Broken, "target sent invalid status %d or a second response header", head.Status)
 	}
 	a.started, a.headTime = true, a.call.now()
@@ -133,6 +134,9 @@
 func (c *call) relayResponse(u upstream, head *thwire.Head) error {
 	a := responseWriter{call: c}
 	defer a.clearDeadline()
+	if err := checkFields(head.Header); err != nil {
+		return err
+	}
 	if err := a.setHead(head); err != nil {
 		return err
 	}
@@ -154,6 +158,9 @@
 		switch err {
 		case nil:
 		case io.EOF: //nolint:errorlint // a wrapped io.EOF means a broken connection
+			if err := checkFields(u.Trailer()); err != nil {
+				return err
+			}
 			return a.writeTrailer(u.Trailer())
 		default:
 			return err
@@ -161,6 +168,17 @@
 	}
 }
 
+// checkFields checks the fields of a header or a trailer from another daemon. Errors are of kind
+// Broken.
+func checkFields(list []thwire.Header) error {
+	for _, e := range list {
+		if err := thhead.CheckField(e.Name, e.Value); err != nil {
+			return therror.Wrap(therror.Broken, err, "response of the target")
+		}
+	}
+	return nil
+}
+
 // awaitsBody reports whether only the header of a response of known length has
 // arrived. Its first part follows soon, and one write for both is cheaper.
 func (a *responseWriter) awaitsBody() bool { return a.contentLength >= 0 && a.written == 0 }
