Reject malformed responses of the store, daemons and probes

What callers saw: nothing yet; a store, an object store, a daemon's admin interface or a probed server in trouble could send a response with a blank in the name of a field, status 000, 600 or 101, or of HTTP/9.9, and its body counted: as rows, as a status, as healthy.

Cause: net/http accepts these, as for backend servers.

Change: thhead.Transport checks what http.Transport has read, for all clients of the product. A write that gets such a response has an unknown outcome.

What net/http hides can't be checked there: folded lines, a coding in HTTP/1.0 and a length beside a coding. They end in an object that can't be decoded, or in a body of the right length.

--- a/thadmin/client.go
+++ b/thadmin/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
+	"github.com/turmerichaven/turmerichaven/thhead"
 )
 
 const (
@@ -34,7 +35,7 @@
 // noProxyClient ignores the proxy settings of the environment, since daemons are
 // addressed by IP.
 var noProxyClient = &http.Client{
-	Transport:     &http.Transport{DisableKeepAlives: true},
+	Transport:     thhead.Transport{Transport: &http.Transport{DisableKeepAlives: true}},
 	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 }
 
--- a/thplatform/transport.go
+++ b/thplatform/transport.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/turmerichaven/turmerichaven/thhead"
 )
 
 const (
@@ -17,7 +19,7 @@
 var errResponseTooLarge = errors.New("response of the platform is too large")
 
 // NewHTTPClient returns a client for one of the platform's services. It uses no
-// proxy, follows no redirects, and fails reads of a response body beyond limit
+// proxy, follows no redirects, rejects malformed responses, and fails reads of a response body beyond limit
 // bytes, since the platform's responses are not trusted.
 func NewHTTPClient(limit int) *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
@@ -25,7 +27,7 @@
 	t.MaxIdleConnsPerHost = maxIdleConns
 	t.MaxResponseHeaderBytes = MaxResponseHeaderBytes
 	return &http.Client{
-		Transport:     limitedTransport{RoundTripper: t, limit: limit},
+		Transport:     limitedTransport{RoundTripper: thhead.Transport{Transport: t}, limit: limit},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/thserver/probe.go
+++ b/thserver/probe.go
@@ -8,11 +8,16 @@
 	"net"
 	"net/http"
 	"syscall"
+
+	"github.com/turmerichaven/turmerichaven/thhead"
 )
 
 // probeClient is the default client for probes. It does not follow redirects, which
 // could lead to another machine.
-var probeClient = &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+var probeClient = &http.Client{
+	Transport:     thhead.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
 
 // probeOutcome is the result of one probe, with the state of the connection.
 type probeOutcome struct {
