Test malformed fields of requests

Names with blanks, control bytes, bytes above ASCII and separators, empty names, lines without a colon and control bytes in values get 400, as they did before; so do they behind the first 4 KiB of a head. A folded line is the rest of the value before it, with a blank between, as RFC 9112 (5.2) allows for requests.

--- a/thhttp/head_test.go
+++ b/thhttp/head_test.go
@@ -37,6 +37,19 @@
 		{400, "GET / HTTP/1.1\r\nHost: h\r\nBad Name: x\r\n\r\n"},
 		{400, "GET / HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n"},
 		{400, "GET / HTTP/1.1\r\nHost: h\r\n folded: x\r\nContent-Length : 5\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX : a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX\t: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX\x01Y: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX\x7f: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX\xe9: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX/Y: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\n: a\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX: a\x01b\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX: a\x7fb\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n"},
+		{400, "GET / HTTP/1.1\r\nHost: h\r\nY: " + strings.Repeat("y", 6<<10) + "\r\nX Y: a\r\n\r\n"},
 		{400, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello"},
 		{400, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"},
 		{400, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
@@ -58,6 +71,18 @@
 	}
 }
 
+// Guards against a folded line of a request that counts as a field of its own: it is the rest of
+// the value before it, with a blank between (RFC 9112, section 5.2).
+func TestFoldedLineIsPartOfTheValue(t *testing.T) {
+	headers := make(chan http.Header, 1)
+	address := start(t, &Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { headers <- r.Header })})
+	c := dial(t, address)
+	c.send("GET / HTTP/1.1\r\nHost: h\r\nX: a\r\n Content-Length: 5\r\n\r\n")
+	resp, _ := c.readResponse()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.DeepEqual(t, <-headers, http.Header{"X": {"a Content-Length: 5"}})
+}
+
 // Guards against endless heads and bodies that take unbounded memory or time.
 func TestEndlessRequests(t *testing.T) {
 	s := &Server{Limits: Limits{HeaderTimeout: 300 * time.Millisecond}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
