--- a/thhead/response.go
+++ b/thhead/response.go
@@ -124,13 +124,8 @@
 	if response.Trailer, err = declaredTrailer(h["Trailer"]); err != nil {
 		return err
 	}
-	closes := httpguts.HeaderValuesContainsToken(h["Connection"], "close")
-	switch {
-	case response.ProtoMinor == 0:
-		response.Close = closes || !httpguts.HeaderValuesContainsToken(h["Connection"], "keep-alive")
-	default:
-		response.Close = closes
-	}
+	response.Close = httpguts.HeaderValuesContainsToken(h["Connection"], "close") ||
+		response.ProtoMinor == 0 && !httpguts.HeaderValuesContainsToken(h["Connection"], "keep-alive")
 	switch {
 	case method == http.MethodHead:
 		response.ContentLength = length
@@ -174,7 +169,9 @@
 	trailer := http.Header{}
 	for _, v := range values {
 		for name := range strings.SplitSeq(v, ",") {
-			name = textproto.TrimString(name)
+			if name = textproto.TrimString(name); name == "" {
+				continue
+			}
 			if err := CheckField(name, ""); err != nil {
 				return nil, err
 			}
--- a/thhead/response_test.go
+++ b/thhead/response_test.go
@@ -36,6 +36,7 @@
 		{"GET", "HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\nContent-Length: 0\r\n\r\n"},
 		{"GET", "HTTP/1.1 404 Not Found\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nabcd\r\n1;a=b\r\ne\r\n0\r\n\r\n"},
 		{"GET", "HTTP/1.1 200 OK\r\nTrailer: X-A, x-b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\nX-A: 1\r\nX-C: 2\r\n\r\n"},
+		{"GET", "HTTP/1.1 200 OK\r\nTrailer: X-A, , X-B,\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: 1\r\n\r\n"},
 		{"GET", "HTTP/1.1 200 OK\r\n\r\nup to the end"},
 		{"GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nabcd"},
 		{"GET", "HTTP/1.1 200 OK\r\nConnection: x, Close\r\nContent-Length: 4\r\n\r\nabcd"},
@@ -61,6 +62,7 @@
 		assert.Equal(t, got.StatusCode, want.StatusCode, "%q", x.bytes)
 		assert.Equal(t, got.ContentLength, want.ContentLength, "%q", x.bytes)
 		assert.Equal(t, got.Close, want.Close, "%q", x.bytes)
+		delete(want.Trailer, "") // an empty element of the list
 		assert.DeepEqual(t, got.Trailer, want.Trailer)
 		for name, values := range want.Header {
 			assert.DeepEqual(t, got.Header[name], values)
--- a/thproxy/direct_conn.go
+++ b/thproxy/direct_conn.go
@@ -39,7 +39,7 @@
 // Read reads from the connection. It returns io.EOF only if the server has ended it in order.
 func (c *directConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
 	return n, err
--- a/thproxy/mesh_test.go
+++ b/thproxy/mesh_test.go
@@ -159,6 +159,23 @@
 	return m
 }
 
+// newMeshBeside returns a mesh with one target beside the backend server at an address, whose
+// responses have the headers of a platform of kind rows. With local set, the ingress is in the
+// same daemon as the target.
+func newMeshBeside(t testing.TB, address string, local bool) *mesh {
+	m := newMesh(t, nonIdempotentRoute, http.HandlerFunc(echoHandler))
+	headers := &Headers{RequestID: testIDHeader, Stamp: "X-Stamp", Deadline: HeaderDeadline}
+	m.ingress.Headers, m.targets[0].Headers = headers, headers
+	m.targets[0].Transport.(*DirectTransport).Headers = headers
+	m.targets[0].Server = func() (thwire.Server, netip.AddrPort, bool) {
+		return thwire.Server{State: thwire.ServerReady}, netip.MustParseAddrPort(address), true
+	}
+	if local {
+		m.ingress.Local, m.ingress.Self = m.targets[0], m.balancer.members[0].Name
+	}
+	return m
+}
+
 // frontend serves callers over HTTP/1.1 and HTTP/2 in the same way as a daemon.
 type frontend struct {
 	URL      string
