Check the fields of requests by the same function as those of responses

No change for callers: the names were checked by the same library, and the values by net/http before. The message of the 400 names the field.

--- a/thhttp/body.go
+++ b/thhttp/body.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"golang.org/x/net/http/httpguts"
+	"github.com/turmerichaven/turmerichaven/thhead"
 )
 
 // maxDiscard is the maximum number of unread body bytes that are read and dropped
@@ -98,10 +98,8 @@
 	case len(expect) > 1 || len(expect) == 1 && !strings.EqualFold(expect[0], "100-continue"):
 		return &requestError{http.StatusExpectationFailed, "unknown expectation"}
 	}
-	for name := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &requestError{http.StatusBadRequest, "invalid header name"}
-		}
+	if err := thhead.CheckHeader(r.Header); err != nil {
+		return &requestError{http.StatusBadRequest, err.Error()}
 	}
 	return nil
 }
