Treat settings without a value as omitted

What callers saw: nothing was served on deployments whose terms lack the rate of cold backend servers, since no daemon started: 'settings.conf:22: [server] cold: "" is not a number'.

Cause: the template wrote each key whether the platform gives a value or not, and an empty value was parsed as one. Durations and sizes had only their unit then.

Change: a key without a value counts as omitted, so it has its default or is reported as missing where it is required. This covers every term that the template uses: the time for changes, the cold rate, the budget of retries, the exposure of a move, the grace time and the memory limit.

--- a/thsettings/generate/main.go
+++ b/thsettings/generate/main.go
@@ -238,7 +238,7 @@
 	var b strings.Builder
 	b.WriteString("# Settings\n\nGenerated from `thsettings/schema.ini` by `make generate`.\n\n" +
 		"Durations have a unit (`250ms`, `2s`, `1m`), sizes too (`64KiB`, `1MiB`). Addresses are an IP number and a port. " +
-		"A comment has a line of its own. Every fault of a file is reported at once with file, line and key.\n")
+		"A comment has a line of its own. A key without a value counts as omitted, so that it has its default. Every fault of a file is reported at once with file, line and key.\n")
 	for _, s := range sections {
 		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n| key | type | range | default | required | meaning |\n| --- | --- | --- | --- | --- | --- |\n", s.name, s.doc)
 		for _, k := range s.keys {
--- a/thsettings/settings.go
+++ b/thsettings/settings.go
@@ -75,7 +75,8 @@
 }
 
 // readSection stores the values of a section in s, and the lines of the section
-// ("section") and of its keys ("section.key") in lines.
+// ("section") and of its keys ("section.key") in lines. A key without a value counts as
+// omitted: a platform that fills in a template has no value for a term that it doesn't use.
 func readSection(f *thini.File, section *thini.Section, s *Settings, lines map[string]int) {
 	if !slices.Contains(sectionNames, section.Name) {
 		f.AddError(section.Line, section.Name, "", "unknown section")
@@ -88,6 +89,9 @@
 			f.AddError(entry.Line, section.Name, entry.Name, "unknown key")
 			continue
 		}
+		if entry.Value == "" {
+			continue
+		}
 		lines[section.Name+"."+entry.Name] = entry.Line
 		if err := keys[i].set(s, entry.Value); err != nil {
 			f.AddError(entry.Line, section.Name, entry.Name, "%v", err)
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -395,7 +395,7 @@
 	"\n" +
 	"Generated from `thsettings/schema.ini` by `make generate`.\n" +
 	"\n" +
-	"Durations have a unit (`250ms`, `2s`, `1m`), sizes too (`64KiB`, `1MiB`). Addresses are an IP number and a port. A comment has a line of its own. Every fault of a file is reported at once with file, line and key.\n" +
+	"Durations have a unit (`250ms`, `2s`, `1m`), sizes too (`64KiB`, `1MiB`). Addresses are an IP number and a port. A comment has a line of its own. A key without a value counts as omitted, so that it has its default. Every fault of a file is reported at once with file, line and key.\n" +
 	"\n" +
 	"## [daemon]\n" +
 	"\n" +
