Read load headers that state the slowdown of the machine

Cause: the load header of a server that shares its machine has a fourth figure, the time that work takes at the moment in percent of the usual time. The parser wanted three and dropped the whole header.

Change: the parser takes three or four figures and returns them as a LoadReport.

Evidence: TestLoadHeader; the case with four figures failed before.

--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -70,7 +70,7 @@
 	OnDispatch func(route, pool string, cold bool) (observer CallObserver, allowed bool)
 	// OnLoadReport receives the load that the backend server reports in a response
 	// header; it may be nil.
-	OnLoadReport func(running, waiting, slots int)
+	OnLoadReport func(LoadReport)
 	// OnReport receives what the backend server states about itself in each response;
 	// it may be nil.
 	OnReport    func(ServerReport)
@@ -294,8 +294,8 @@
 func (t *Target) checkResponse(response *http.Response) error {
 	names := headersOrDefault(t.Headers)
 	if v := response.Header[names.Load]; len(v) == 1 && t.OnLoadReport != nil {
-		if running, waiting, slots, ok := parseLoad(v[0]); ok {
-			t.OnLoadReport(running, waiting, slots)
+		if l, ok := parseLoad(v[0]); ok {
+			t.OnLoadReport(l)
 		}
 	}
 	if names.Rejected != "" && (len(response.Header[names.Rejected]) > 0 || response.StatusCode == http.StatusMisdirectedRequest) {
@@ -307,24 +307,6 @@
 	return nil
 }
 
-// parseLoad parses the load header: running calls, waiting calls and slots,
-// separated by commas.
-func parseLoad(v string) (running, waiting, slots int, ok bool) {
-	p := strings.Split(v, ",")
-	if len(p) != 3 {
-		return 0, 0, 0, false
-	}
-	var n [3]int
-	for i := range p {
-		x, err := strconv.Atoi(strings.TrimSpace(p[i]))
-		if err != nil || x < 0 {
-			return 0, 0, 0, false
-		}
-		n[i] = x
-	}
-	return n[0], n[1], n[2], true
-}
-
 // contextError returns the error of an ended context. Its kind is that of the
 // cause, or Late or Cancelled for a cause without one.
 func contextError(ctx context.Context) *therror.Error {
