Authenticate callers by the keys of client accounts

Change: the configuration has accounts with hashes of their keys. The ingress finds the account of a key by a hash in constant time, removes the key and the account that the caller named, and passes the account's name on. A request without a known key gets 401, after 404 and after 503 for a missing configuration. Keys are checked for each request, so removed ones are rejected on open connections. Anonymous routes need no key. Calls that a backend server makes for a request have its account: they carry no key, and are known by the request in progress that their id names. Where that request is unknown, as after a restart, they get 503, since 401 is final. A configuration in which two accounts hold a key, or a name or key can't be sent in a header, is refused with an error that names no key.

Without accounts nothing changes: the headers are passed on as before.

Tests: thconfig, thaccount, platform, thproxy; the tests of the ingress can't be built on the code before.

--- a/thconfig/desired.go
+++ b/thconfig/desired.go
@@ -28,6 +28,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	Keyed    bool // requests need the key of an account
+	Accounts []Account
 }
 
 // Rollout is a request to shift the traffic of a service to a new version.
@@ -52,6 +54,7 @@
 // a move between the two pools.
 func (d *DesiredState) Tables() Tables {
 	t := Tables{Version: d.Version, Revision: d.Config.Revision, Routes: slices.Clone(d.Config.Routes), Services: slices.Clone(d.Config.Services)}
+	t.Keyed, t.Accounts = d.Config.Keyed, slices.Clone(d.Config.Accounts)
 	limits := d.Config.Limits
 	t.Limits = &limits
 	for _, s := range d.Config.Services {
@@ -129,7 +132,7 @@
 // Config returns the configuration that DesiredState.Tables has converted; its Revision is
 // zero for tables of another origin.
 func (t *Tables) Config() Config {
-	c := Config{Revision: t.Revision, Routes: t.Routes, Services: t.Services}
+	c := Config{Revision: t.Revision, Routes: t.Routes, Services: t.Services, Keyed: t.Keyed, Accounts: t.Accounts}
 	if t.Limits != nil {
 		c.Limits = *t.Limits
 	}
@@ -155,6 +158,7 @@
 	slices.SortFunc(t.Zones, func(a, b Zone) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(t.Moves, func(a, b Move) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(t.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	sortAccounts(t.Accounts)
 }
 
 // Service returns the service with the given name and whether it exists.
@@ -167,7 +171,8 @@
 }
 
 // Validate checks the revision, the names, and each route's host, path prefix,
-// timeout, attempts and services, and that no two routes match the same requests.
+// timeout, attempts and services, that no two routes match the same requests, and that no
+// two accounts hold the same key.
 // The error is of kind Refused and lists all errors, one per line.
 func (c *Config) Validate() error {
 	v := checker{tables: &Tables{}}
@@ -193,6 +198,7 @@
 		patterns[r.Host+r.Path] = r.Name
 		v.checkConfigRoute(r, services)
 	}
+	v.checkAccounts(c.Accounts)
 	if len(v.errors) > 0 {
 		return therror.New(therror.Refused, "invalid configuration %d:\n%s", c.Revision, strings.Join(v.errors, "\n"))
 	}
--- a/thconfig/schema.go
+++ b/thconfig/schema.go
@@ -23,6 +23,22 @@
 	Limits   *Limits   `msg:"limits,omitempty"`   // nil means the limits of the daemon's settings
 	Services []Service `msg:"services,omitempty"` // may lack services that pools name
 	Revision uint64    `msg:"revision,omitempty"` // that operators assigned to the configuration; zero if they assign none
+
+	// Keyed means that requests need the key of an account, except on anonymous routes. It is
+	// separate from Accounts, so that the removal of the last account doesn't open the routes.
+	Keyed    bool      `msg:"keyed,omitempty"`
+	Accounts []Account `msg:"accounts,omitempty"`
+}
+
+// KeyHash is the hash of a key of an account: the first half of its SHA-256. The tables hold
+// hashes, so that no copy, message or log of them tells a key.
+type KeyHash [16]byte
+
+// Account is a client account.
+type Account struct {
+	Name     string    `msg:"name"`
+	Keys     []KeyHash `msg:"keys"`               // sorted
+	Priority int       `msg:"priority,omitempty"` // goes before that of the route; 0 is the highest
 }
 
 // Limits are the limits on callers' requests and connections.
@@ -58,6 +74,8 @@
 	Priority int            `msg:"priority,omitempty"` // 0 is the highest
 	Target   time.Duration  `msg:"target,omitempty"`   // latency objective; zero means none
 	Attempts int            `msg:"attempts,omitempty"` // maximum backend servers that one call is sent to; zero means the daemon's default
+
+	Anonymous bool `msg:"anonymous,omitempty"` // requests need no key, in tables that are Keyed
 }
 
 // WeightedPool is a pool of a route with a traffic split and its weight.
--- a/thconfig/schema_gen.go
+++ b/thconfig/schema_gen.go
@@ -12,6 +12,115 @@
 	zb417a25dlimitMaps   = 64
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Account) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Priority == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "name"
+		o = append(o, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+		o = msgp.AppendString(o, z.Name)
+		// string "keys"
+		o = append(o, 0xa4, 0x6b, 0x65, 0x79, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Keys)))
+		for za0001 := range z.Keys {
+			o = msgp.AppendBytes(o, (z.Keys[za0001])[:])
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "priority"
+			o = append(o, 0xa8, 0x70, 0x72, 0x69, 0x6f, 0x72, 0x69, 0x74, 0x79)
+			o = msgp.AppendInt(o, z.Priority)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Account) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "keys":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Keys")
+				return
+			}
+			if zb0002 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Keys) >= int(zb0002) {
+				z.Keys = (z.Keys)[:zb0002]
+			} else {
+				z.Keys = make([]KeyHash, zb0002)
+			}
+			for za0001 := range z.Keys {
+				bts, err = msgp.ReadExactBytes(bts, (z.Keys[za0001])[:])
+				if err != nil {
+					err = msgp.WrapError(err, "Keys", za0001)
+					return
+				}
+			}
+		case "priority":
+			z.Priority, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Priority")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Account) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 5 + msgp.ArrayHeaderSize + (len(z.Keys) * (16 * (msgp.ByteSize))) + 9 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -416,6 +525,30 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *KeyHash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendBytes(o, (z)[:])
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeyHash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	bts, err = msgp.ReadExactBytes(bts, (z)[:])
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeyHash) Msgsize() (s int) {
+	s = msgp.ArrayHeaderSize + (16 * (msgp.ByteSize))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Limits) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -813,8 +946,8 @@
 func (z *Route) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Host == "" {
 		zb0001Len--
@@ -844,6 +977,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.Anonymous == false {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -911,6 +1048,11 @@
 			o = append(o, 0xa8, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74, 0x73)
 			o = msgp.AppendInt(o, z.Attempts)
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "anonymous"
+			o = append(o, 0xa9, 0x61, 0x6e, 0x6f, 0x6e, 0x79, 0x6d, 0x6f, 0x75, 0x73)
+			o = msgp.AppendBool(o, z.Anonymous)
+		}
 	}
 	return
 }
@@ -1065,6 +1207,12 @@
 				err = msgp.WrapError(err, "Attempts")
 				return
 			}
+		case "anonymous":
+			z.Anonymous, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Anonymous")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1083,7 +1231,7 @@
 	for za0001 := range z.Split {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Split[za0001].Pool) + 7 + msgp.IntSize
 	}
-	s += 9 + msgp.IntSize + 7 + msgp.DurationSize + 9 + msgp.IntSize
+	s += 9 + msgp.IntSize + 7 + msgp.DurationSize + 9 + msgp.IntSize + 10 + msgp.BoolSize
 	return
 }
 
@@ -1183,8 +1331,8 @@
 func (z *Tables) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
 	_ = zb0001Mask
 	if z.Limits == nil {
 		zb0001Len--
@@ -1198,6 +1346,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Keyed == false {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Accounts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1281,6 +1437,23 @@
 			o = append(o, 0xa8, 0x72, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendUint64(o, z.Revision)
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "keyed"
+			o = append(o, 0xa5, 0x6b, 0x65, 0x79, 0x65, 0x64)
+			o = msgp.AppendBool(o, z.Keyed)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "accounts"
+			o = append(o, 0xa8, 0x61, 0x63, 0x63, 0x6f, 0x75, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Accounts)))
+			for za0006 := range z.Accounts {
+				o, err = z.Accounts[za0006].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0006)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1490,6 +1663,35 @@
 				err = msgp.WrapError(err, "Revision")
 				return
 			}
+		case "keyed":
+			z.Keyed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Keyed")
+				return
+			}
+		case "accounts":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
+			if zb0008 > zb417a25dlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Accounts) >= int(zb0008) {
+				z.Accounts = (z.Accounts)[:zb0008]
+			} else {
+				z.Accounts = make([]Account, zb0008)
+			}
+			for za0006 := range z.Accounts {
+				bts, err = z.Accounts[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Accounts", za0006)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1530,7 +1732,10 @@
 	for za0005 := range z.Services {
 		s += z.Services[za0005].Msgsize()
 	}
-	s += 9 + msgp.Uint64Size
+	s += 9 + msgp.Uint64Size + 6 + msgp.BoolSize + 9 + msgp.ArrayHeaderSize
+	for za0006 := range z.Accounts {
+		s += z.Accounts[za0006].Msgsize()
+	}
 	return
 }
 
--- a/thdaemon/adapters.go
+++ b/thdaemon/adapters.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thadmit"
 	"github.com/turmerichaven/turmerichaven/thbalance"
 	"github.com/turmerichaven/turmerichaven/thconfig"
@@ -166,3 +167,11 @@
 	}
 	return s.Tables.Version, s.Router.Match, true
 }
+
+// accounts returns the client accounts in effect, nil if requests need no key.
+func (d *Daemon) accounts() *thaccount.Table {
+	if s := d.replica.Current(); s != nil {
+		return s.Accounts
+	}
+	return nil
+}
--- a/therror/kind.go
+++ b/therror/kind.go
@@ -21,6 +21,8 @@
 	Leaving  Kind = "leaving"  // the target is draining or its availability zone is out
 	Unready  Kind = "unready"  // no configuration or no backend server available
 	Down     Kind = "down"     // platform or peer unreachable; nothing was sent or written
+	// Unauthorized is a request without the key of a client account.
+	Unauthorized Kind = "unauthorized"
 	// Quarantined is a request that has crashed the backend servers which ran it.
 	Quarantined Kind = "quarantined"
 
@@ -56,23 +58,24 @@
 }
 
 var responses = map[Kind]Response{
-	Bad:      {Status: http.StatusBadRequest, ExitCode: 2, NotRun: true},
-	Route:    {Status: http.StatusNotFound, ExitCode: 3, NotRun: true},
-	Absent:   {Status: http.StatusNotFound, ExitCode: 3, NotRun: true},
-	Conflict: {Status: http.StatusConflict, ExitCode: 4, NotRun: true},
-	Repeat:   {Status: http.StatusConflict, ExitCode: 4},
-	Refused:  {Status: http.StatusUnprocessableEntity, ExitCode: 3, NotRun: true},
-	Limited:  {Status: http.StatusTooManyRequests, ExitCode: 6, Retryable: true, NotRun: true},
-	Full:     {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
-	Shed:     {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
-	Leaving:  {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
-	Unready:  {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
-	Down:     {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
-	Large:    {Status: http.StatusRequestEntityTooLarge, ExitCode: 2},
-	Deep:     {Status: http.StatusLoopDetected, ExitCode: 3, NotRun: true},
-	Late:     {Status: http.StatusGatewayTimeout, ExitCode: 7},
-	Broken:   {Status: http.StatusBadGateway, ExitCode: 7},
-	Crashed:  {Status: http.StatusBadGateway, ExitCode: 7},
+	Bad:          {Status: http.StatusBadRequest, ExitCode: 2, NotRun: true},
+	Route:        {Status: http.StatusNotFound, ExitCode: 3, NotRun: true},
+	Absent:       {Status: http.StatusNotFound, ExitCode: 3, NotRun: true},
+	Conflict:     {Status: http.StatusConflict, ExitCode: 4, NotRun: true},
+	Repeat:       {Status: http.StatusConflict, ExitCode: 4},
+	Refused:      {Status: http.StatusUnprocessableEntity, ExitCode: 3, NotRun: true},
+	Limited:      {Status: http.StatusTooManyRequests, ExitCode: 6, Retryable: true, NotRun: true},
+	Full:         {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Shed:         {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Leaving:      {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Unready:      {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Down:         {Status: http.StatusServiceUnavailable, ExitCode: 6, Retryable: true, NotRun: true},
+	Unauthorized: {Status: http.StatusUnauthorized, ExitCode: 3, NotRun: true},
+	Large:        {Status: http.StatusRequestEntityTooLarge, ExitCode: 2},
+	Deep:         {Status: http.StatusLoopDetected, ExitCode: 3, NotRun: true},
+	Late:         {Status: http.StatusGatewayTimeout, ExitCode: 7},
+	Broken:       {Status: http.StatusBadGateway, ExitCode: 7},
+	Crashed:      {Status: http.StatusBadGateway, ExitCode: 7},
 	// A status that invites no retry: a later attempt does not succeed either.
 	Quarantined: {Status: http.StatusBadGateway, ExitCode: 3, NotRun: true},
 	Unknown:     {Status: http.StatusBadGateway, ExitCode: 5},
--- a/thproxy/activecalls.go
+++ b/thproxy/activecalls.go
@@ -20,8 +20,10 @@
 // that a call is not nested.
 type activeCall struct {
 	mutex     sync.Mutex
-	retry     bool // an earlier attempt of the call may have run
-	responses int  // successful responses to its nested calls
+	retry     bool   // an earlier attempt of the call may have run
+	account   string // of the call, and of its nested calls
+	rank      int    // priority of the account
+	responses int    // successful responses to its nested calls
 }
 
 // add adds a call and returns a function that removes it. If the ID is added again,
@@ -30,7 +32,7 @@
 	if s == nil || id == "" {
 		return func() {}
 	}
-	a := &activeCall{retry: o.Again}
+	a := &activeCall{retry: o.Again, account: o.Account, rank: o.Rank}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.byID == nil {
--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -52,6 +52,8 @@
 	Stamp          string // on every successful response of a backend server
 	Limit          string // on responses: calls per second that the backend server accepts, for as long as its responses state a number
 	Leaving        string // on responses of a backend server that is leaving: "1"
+	ClientKey      string // key of a client account, which goes no further than the ingress
+	Account        string // name of the client account
 	ChildSeparator string // not a header: between a request ID and the suffix that a backend server adds for its nested calls
 }
 
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/thcrash"
@@ -134,12 +135,14 @@
 	// OnLeaving is called with the member whose backend server states in a response that it
 	// is leaving; it may be nil.
 	OnLeaving    func(m *thwire.Member)
-	Metrics      Metrics          // nil disables metrics
-	Headers      *Headers         // nil means the default names
-	LocalService string           // service of the local backend server, sent in Headers.Caller
-	RetryBudget  RetryBudget      // nil means a budget for each route, set by its Retry
-	ActiveCalls  *ActiveCalls     // calls in progress at the local backend server; nil disables detection of nested calls
-	Crashes      *thcrash.Tracker // requests that crash backend servers; nil tracks none
+	Metrics      Metrics                 // nil disables metrics
+	Headers      *Headers                // nil means the default names
+	Accounts     func() *thaccount.Table // table of the accounts in effect; nil means that requests need no key
+	AccountStats *thaccount.Stats        // nil counts no calls of accounts
+	LocalService string                  // service of the local backend server, sent in Headers.Caller
+	RetryBudget  RetryBudget             // nil means a budget for each route, set by its Retry
+	ActiveCalls  *ActiveCalls            // calls in progress at the local backend server; nil disables detection of nested calls
+	Crashes      *thcrash.Tracker        // requests that crash backend servers; nil tracks none
 	Clock        clockwork.Clock
 	Log          hclog.Logger
 
@@ -274,6 +277,11 @@
 	}
 	c.route = route
 	r, names := c.request, headersOrDefault(c.Headers)
+	c.parent = c.ActiveCalls.parent(c.id(), names.ChildSeparator)
+	account, err := c.authenticate(names)
+	if err != nil {
+		return err
+	}
 	deadline, err := headerInt(r.Header, names.Deadline, route.Timeout.Milliseconds()+1)
 	if err != nil {
 		return err
@@ -300,7 +308,10 @@
 		Version: version, Route: route.Name, Pool: c.basePool, Class: route.Class, Method: r.Method,
 		Target: requestTarget(r), Host: r.Host, Header: names.forwardedHeaders(r), Deadline: int64(timeout),
 		Depth: int(depth), Once: route.Repeat != thconfig.RepeatSafe,
-		Priority: route.Priority,
+		Priority: route.Priority, Account: account.name, Rank: account.rank,
+	}
+	if account.required {
+		c.open.Header = names.withAccount(c.open.Header, account.name)
 	}
 	if c.open.Late = c.lateRetries.isLateRetry(route, time.Duration(deadline)*time.Millisecond); !c.open.Late {
 		c.open.Goal = int64(route.Target)
@@ -309,7 +320,6 @@
 		c.open.Header = append(withoutHeader(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.LocalService})
 	}
 	c.baseHeaderCount = len(c.open.Header)
-	c.parent = c.ActiveCalls.parent(c.id(), names.ChildSeparator)
 	c.open.Begun = c.parent.hasResponses()
 	if err := c.setIdempotencyKey(r.Header[names.Key]); err != nil {
 		return err
@@ -382,6 +392,7 @@
 	if err == nil && c.status < http.StatusMultipleChoices {
 		c.parent.countResponse()
 	}
+	c.countAccount(err)
 	total := c.now().Sub(c.start)
 	class, route := "", ""
 	if c.route != nil {
--- a/thproxy/response.go
+++ b/thproxy/response.go
@@ -18,6 +18,9 @@
 // the caller's connection.
 const writeGracePeriod = time.Second
 
+// authenticateChallenge is the challenge of responses with status 401.
+const authenticateChallenge = "ApiKey"
+
 // writeError sends an error response of the mesh to the caller.
 func (c *call) writeError(err error) {
 	a := therror.ResponseTo(therror.KindOf(err))
@@ -29,6 +32,9 @@
 			h.Set(names.Outcome, OutcomeNotRun)
 		}
 	}
+	if a.Status == http.StatusUnauthorized {
+		h.Set("Www-Authenticate", authenticateChallenge) // required by RFC 9110, section 11.6.1
+	}
 	if wait := therror.RetryAfter(err); a.Retryable || wait > 0 {
 		h.Set("Retry-After", strconv.FormatInt(max(1, int64((wait+time.Second-1)/time.Second)), 10))
 	}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -68,6 +68,9 @@
 	// observer of the call. A call that is not allowed is rejected without being sent.
 	// OnDispatch may be nil.
 	OnDispatch func(route, pool string, cold bool) (observer CallObserver, allowed bool)
+	// OnBegin is called with the account of a call that is sent to the backend server, and
+	// returns a function that is called if the server has not run it. It may be nil.
+	OnBegin func(account string) (undo func())
 	// OnLoadReport receives the load that the backend server reports in a response
 	// header; it may be nil.
 	OnLoadReport func(LoadReport)
@@ -248,6 +251,14 @@
 	if c.Open().Again {
 		ctx = withNewConnection(ctx)
 	}
+	if t.OnBegin != nil {
+		undo := t.OnBegin(c.Open().Account)
+		defer func() {
+			if therror.IsNotRun(err) {
+				undo()
+			}
+		}()
+	}
 	response, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	latency = max(clock.Since(start), 1)
 	sample = latency
--- a/thsync/follow.go
+++ b/thsync/follow.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
@@ -398,7 +399,7 @@
 		f.Log.Error("configuration refused", "version", thconfig.VersionText(t.Version), "from", from, "error", err)
 		return
 	}
-	s := &Snapshot{Tables: t, Digest: thconfig.Digest(t), Router: r}
+	s := &Snapshot{Tables: t, Digest: thconfig.Digest(t), Router: r, Accounts: thaccount.Compile(&t)}
 	if old := f.current.Load(); old != nil {
 		f.swaps.add(old.Tables, t)
 	}
@@ -410,7 +411,7 @@
 	if since := f.backlog.remove(t.Version); !since.IsZero() {
 		fields = append(fields, "known", f.Clock.Since(since))
 	}
-	f.Log.Info("configuration in effect", append([]any{"version", thconfig.VersionText(t.Version), "from", from, "routes", len(t.Routes), "moves", len(t.Moves)}, fields...)...)
+	f.Log.Info("configuration in effect", append([]any{"version", thconfig.VersionText(t.Version), "from", from, "routes", len(t.Routes), "accounts", len(t.Accounts), "moves", len(t.Moves)}, fields...)...)
 	f.Peers.SetHeld(t.Version, s.Digest)
 	n := Status{Version: t.Version, Digest: s.Digest, Highest: t.Version, Ready: true, Polling: true}
 	if f.lastErr != nil {
--- a/thsync/replica.go
+++ b/thsync/replica.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thclock"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
@@ -28,6 +29,8 @@
 	Tables thconfig.Tables
 	Digest []byte
 	Router *throute.Router
+	// Accounts finds the account of a key; nil if requests need no key.
+	Accounts *thaccount.Table
 }
 
 // Peers is the part of *thmember.Node that a Replica and a Follower use.
--- a/thsync/version.go
+++ b/thsync/version.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/throute"
@@ -51,7 +52,7 @@
 		v.changes[0] = thconfig.Change{}
 		v.changes = v.changes[1:]
 	}
-	r.addPending(&Snapshot{Tables: t, Digest: c.Digest, Router: router})
+	r.addPending(&Snapshot{Tables: t, Digest: c.Digest, Router: router, Accounts: thaccount.Compile(&t)})
 	return nil
 }
 
@@ -73,7 +74,7 @@
 		return err
 	}
 	r.versions.changes, r.versions.changesBytes = nil, 0
-	r.addPending(&Snapshot{Tables: t, Digest: digest, Router: router})
+	r.addPending(&Snapshot{Tables: t, Digest: digest, Router: router, Accounts: thaccount.Compile(&t)})
 	return nil
 }
 
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -175,6 +175,8 @@
 	// Routes names the routes that the latest versions of the requester changed. The
 	// receiver may not have seen these versions, and may still hold the earlier routes.
 	Routes []string `msg:"r,omitempty"`
+	// Accounts is the digest of the requester's accounts. A Batch leaves out equal ones.
+	Accounts uint64 `msg:"c,omitempty"`
 }
 
 // ConfigHeadRequest asks a daemon that polls the platform for its next ConfigHead.
@@ -197,6 +199,8 @@
 	// name. It is zero if Tables has all routes. Gone names the routes to remove.
 	Base uint64   `msg:"b"`
 	Gone []string `msg:"g"`
+	// SameAccounts means that Tables lacks the accounts because the requester has them.
+	SameAccounts bool `msg:"a,omitempty"`
 }
 
 // Ping requests a Pong with the same Number.
@@ -345,6 +349,9 @@
 	// Suspect is the fingerprint of a request that may have crashed a backend server, empty
 	// for others. The target runs one such request at a time.
 	Suspect string `msg:"u,omitempty"`
+	// Account is the name of the client account that the call belongs to, empty without one.
+	Account string `msg:"f,omitempty"`
+	Rank    int    `msg:"q,omitempty"` // priority of the account, which goes before Priority
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -16,39 +16,57 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Batch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "c"
-	o = append(o, 0x85, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
-	for za0001 := range z.Changes {
-		o, err = z.Changes[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Changes", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.SameAccounts == false {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	if z.Tables == nil {
-		o = msgp.AppendNil(o)
-	} else {
-		o, err = z.Tables.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Tables")
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Changes)))
+		for za0001 := range z.Changes {
+			o, err = z.Changes[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes", za0001)
+				return
+			}
+		}
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		if z.Tables == nil {
+			o = msgp.AppendNil(o)
+		} else {
+			o, err = z.Tables.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Tables")
+				return
+			}
+		}
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.Digest)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendUint64(o, z.Base)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
+		for za0002 := range z.Gone {
+			o = msgp.AppendString(o, z.Gone[za0002])
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendBool(o, z.SameAccounts)
 		}
-	}
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendUint64(o, z.Base)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Gone)))
-	for za0002 := range z.Gone {
-		o = msgp.AppendString(o, z.Gone[za0002])
 	}
 	return
 }
@@ -166,6 +184,12 @@
 					return
 				}
 			}
+		case "a":
+			z.SameAccounts, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SameAccounts")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -194,6 +218,7 @@
 	for za0002 := range z.Gone {
 		s += msgp.StringPrefixSize + len(z.Gone[za0002])
 	}
+	s += 2 + msgp.BoolSize
 	return
 }
 
@@ -838,8 +863,8 @@
 func (z *Fetch) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.Any == false {
 		zb0001Len--
@@ -849,6 +874,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Accounts == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -870,6 +899,11 @@
 				o = msgp.AppendString(o, z.Routes[za0001])
 			}
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendUint64(o, z.Accounts)
+		}
 	}
 	return
 }
@@ -931,6 +965,12 @@
 					return
 				}
 			}
+		case "c":
+			z.Accounts, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accounts")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -949,6 +989,7 @@
 	for za0001 := range z.Routes {
 		s += msgp.StringPrefixSize + len(z.Routes[za0001])
 	}
+	s += 2 + msgp.Uint64Size
 	return
 }
 
@@ -1921,8 +1962,8 @@
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(24)
+	var zb0001Mask uint32 /* 24 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
@@ -1932,6 +1973,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200000
 	}
+	if z.Account == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
+	if z.Rank == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2016,6 +2065,16 @@
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendString(o, z.Suspect)
 		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "f"
+			o = append(o, 0xa1, 0x66)
+			o = msgp.AppendString(o, z.Account)
+		}
+		if (zb0001Mask & 0x800000) == 0 { // if not omitted
+			// string "q"
+			o = append(o, 0xa1, 0x71)
+			o = msgp.AppendInt(o, z.Rank)
+		}
 	}
 	return
 }
@@ -2224,6 +2283,18 @@
 				err = msgp.WrapError(err, "Suspect")
 				return
 			}
+		case "f":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "q":
+			z.Rank, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rank")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2242,7 +2313,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect)
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.IntSize
 	return
 }
 
