Queue calls by the priority and the share of their account

Cause: calls were queued by the route's priority and due time, so an account that sends more, or repeats at once, took the places of the others.

Change: the priority of the account goes first, then that of the route, then start-time fair queueing over the accounts, then due time. Calls without an account, as on all deployments without accounts, are ordered as before.

Weighed: limits of the rate of each account (need a figure from the operator, and leave room unused); counting recent use in a window (a size to choose, and an account that stops is punished afterwards). Start-time fair queueing has no parameter, and only calls that wait at the same time compete.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -74,14 +74,19 @@
 	serviceTimes     map[string]time.Duration // moving average by route
 	averageTime      time.Duration            // moving average of all calls; zero before the first
 	wakeTimer        clockwork.Timer          // admits queued calls when pacing allows; nil if not set
+	shares           fairShares               // of the client accounts
 }
 
 // queuedCall is a call that waits for admission.
 type queuedCall struct {
 	route              string
-	priority           int           // 0 is the most urgent
+	account            string        // client account, empty without one
+	rank               int           // priority of the account, which goes before priority
+	priority           int           // of the route; 0 is the most urgent
 	late               bool          // made by a retrying client whose latency objective has passed
 	parentHasResponses bool          // nested call whose parent call has got responses to other ones
+	start              time.Duration // virtual start by the account's share; see fairShares
+	cost               time.Duration // expected service time, charged to the account
 	due                time.Time     // end of the latency objective; the deadline if there is none
 	serveBy            time.Time     // the call is rejected when it can't be served by then
 	budget             time.Duration // maximum time for waiting and serving
@@ -131,6 +136,9 @@
 	now := thclock.OrSystem(s.Clock).Now()
 	s.adoptLimit(o.Rate, now)
 	if len(s.queue) == 0 && s.hasFreeSlot(now) {
+		start := s.shares.start(o.Account)
+		s.shares.charge(o.Account, start, s.serviceTime(o.Route))
+		s.shares.dispatched(start)
 		s.admit(now)
 		return nil, nil
 	}
@@ -139,11 +147,13 @@
 		deadline = now.Add(time.Duration(o.Deadline))
 	}
 	t := newQueuedCall(o, deadline, now)
+	t.start, t.cost = s.shares.start(o.Account), s.serviceTime(o.Route)
 	position, _ := slices.BinarySearchFunc(s.queue, t, (*queuedCall).compare)
 	if wait := s.estimateWait(position, now); wait+s.serviceTime(t.route) > t.budget {
 		return nil, s.fullError(wait)
 	}
 	s.queue = slices.Insert(s.queue, position, t)
+	s.shares.charge(t.account, t.start, t.cost)
 	s.rejectUnservable(position+1, now)
 	s.admitQueued(now)
 	return t, nil
@@ -155,7 +165,7 @@
 func newQueuedCall(o *thwire.Open, deadline, now time.Time) *queuedCall {
 	left := deadline.Sub(now)
 	t := &queuedCall{
-		route: o.Route, priority: o.Priority, late: o.Late, parentHasResponses: o.Begun, due: deadline,
+		route: o.Route, account: o.Account, rank: o.Rank, priority: o.Priority, late: o.Late, parentHasResponses: o.Begun, due: deadline,
 		budget: time.Duration(deadlineFraction * float64(left)), done: make(chan struct{}),
 	}
 	goal := time.Duration(o.Goal)
@@ -171,11 +181,12 @@
 	return t
 }
 
-// compare orders calls by priority. Within a priority, nested calls whose parent has
-// responses come first and late calls last; otherwise calls are ordered by due time.
-// A new call is inserted behind its equals.
+// compare orders calls by the priority of their account, then by that of their route. Within
+// these, nested calls whose parent has responses come first and late calls last; otherwise
+// calls are ordered by the shares of their accounts, then by due time. A new call is inserted
+// behind its equals.
 func (t *queuedCall) compare(n *queuedCall) int {
-	if c := cmp.Compare(t.priority, n.priority); c != 0 {
+	if c := cmp.Or(cmp.Compare(t.rank, n.rank), cmp.Compare(t.priority, n.priority)); c != 0 {
 		return c
 	}
 	if t.parentHasResponses != n.parentHasResponses {
@@ -190,6 +201,9 @@
 		}
 		return -1
 	}
+	if c := cmp.Compare(t.start, n.start); c != 0 {
+		return c
+	}
 	if t.due.After(n.due) {
 		return 1
 	}
@@ -208,6 +222,7 @@
 		}
 		t.err = s.fullError(wait)
 		close(t.done)
+		s.shares.refund(t.account, t.cost)
 		s.queue = slices.Delete(s.queue, i, i+1)
 		i--
 	}
@@ -230,6 +245,7 @@
 	}
 	if i := slices.Index(s.queue, t); i >= 0 {
 		s.queue = slices.Delete(s.queue, i, i+1)
+		s.shares.refund(t.account, t.cost)
 	}
 	t.err = cause
 	close(t.done)
@@ -345,6 +361,7 @@
 	for len(s.queue) > 0 && s.rejection() == nil && s.hasFreeSlot(now) {
 		t := s.queue[0]
 		s.queue = slices.Delete(s.queue, 0, 1)
+		s.shares.dispatched(t.start)
 		s.admit(now)
 		close(t.done)
 	}
@@ -444,6 +461,7 @@
 	for _, t := range s.queue {
 		t.err = err
 		close(t.done)
+		s.shares.refund(t.account, t.cost)
 	}
 	s.queue = nil
 }
