Show the calls of client accounts in status and metrics

status lists the accounts with their served, rejected and failed calls at a daemon, names only, and how many calls came without a key of one.

--- a/thadmin/status.go
+++ b/thadmin/status.go
@@ -17,6 +17,22 @@
 	Pools    []PoolEntry    `json:"pools"`
 
 	Quarantine []QuarantineEntry `json:"quarantine,omitempty"`
+	Accounts   *AccountsStatus   `json:"accounts,omitempty"` // nil if requests need no key
+}
+
+// AccountsStatus describes the client accounts and their calls at the responding daemon.
+type AccountsStatus struct {
+	Count        int            `json:"count"`
+	Unauthorized uint64         `json:"unauthorized"`      // calls without the key of an account
+	Entries      []AccountEntry `json:"entries,omitempty"` // those with the most rejected calls first
+}
+
+// AccountEntry counts the calls of an account at the responding daemon since its start.
+type AccountEntry struct {
+	Name     string `json:"name"`
+	Served   uint64 `json:"served"`
+	Rejected uint64 `json:"rejected"`
+	Failed   uint64 `json:"failed"`
 }
 
 // QuarantineEntry describes a request that is rejected since it has crashed backend servers.
--- a/thcommand/status.go
+++ b/thcommand/status.go
@@ -62,6 +62,22 @@
 		s.printf(s.Out, "\n")
 		s.printMoves(status.Moves, true)
 	}
+	if status.Accounts != nil {
+		s.printf(s.Out, "\n")
+		s.printAccounts(status.Accounts)
+	}
+}
+
+// printAccounts prints the accounts that have made calls at the daemon.
+func (s *session) printAccounts(a *thadmin.AccountsStatus) {
+	s.printf(s.Out, "accounts  %d, %d calls without the key of one\n", a.Count, a.Unauthorized)
+	var rows [][]any
+	for _, e := range a.Entries {
+		if e.Served+e.Rejected+e.Failed > 0 {
+			rows = append(rows, []any{e.Name, e.Served, e.Rejected, e.Failed})
+		}
+	}
+	s.printTable("ACCOUNT SERVED REJECTED FAILED", rows)
 }
 
 func readinessText(status *thadmin.Status) string {
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thadmin"
 	"github.com/turmerichaven/turmerichaven/thadmit"
 	"github.com/turmerichaven/turmerichaven/thbalance"
@@ -80,6 +81,7 @@
 	crashes          *thcrash.Tracker
 	crashStore       *crashStore
 	departed         departedInstances
+	accountStats     thaccount.Stats
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
 	endsAt           atomic.Int64 // thclock.Stamp of when a stopping daemon ends; zero until the end of the notice
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -49,6 +49,8 @@
 	activeCalls := &thproxy.ActiveCalls{}
 	d.ingress.ActiveCalls, d.target.ActiveCalls = activeCalls, activeCalls
 	d.ingress.Headers, d.ingress.LocalService = rowplatform.Headers(), s.Server.Service
+	d.ingress.Accounts, d.ingress.AccountStats = d.accounts, &d.accountStats
+	d.metrics.ExportAccounts(&d.accountStats, d.accounts)
 	d.ingress.OnLeaving = d.observeLeaving
 	d.ingress.RetryBudget = &thproxy.SharedRetryBudget{
 		Ratio: s.Budget.Ratio, Slack: s.Budget.Slack, Window: s.Budget.Window, Clock: d.Clock,
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/turmerichaven/turmerichaven/thaccount"
 	"github.com/turmerichaven/turmerichaven/thadmin"
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
@@ -90,6 +91,7 @@
 		for _, z := range snapshot.Tables.Zones {
 			s.Zones = append(s.Zones, thadmin.ZoneEntry{Name: z.Name, Out: z.Out, Changed: z.Changed})
 		}
+		s.Accounts = d.accountsStatus(snapshot.Accounts)
 		s.Moves = d.moveEntries(&snapshot.Tables, view)
 		s.Pools = d.poolEntries(&snapshot.Tables)
 	}
@@ -97,6 +99,21 @@
 	return s
 }
 
+// maxListedAccounts is the maximum number of accounts in the response of /status.
+const maxListedAccounts = 200
+
+// accountsStatus returns the status of the accounts, nil if requests need no key.
+func (d *Daemon) accountsStatus(t *thaccount.Table) *thadmin.AccountsStatus {
+	if t == nil {
+		return nil
+	}
+	s := &thadmin.AccountsStatus{Count: t.Len(), Unauthorized: d.accountStats.Unauthorized()}
+	for _, e := range d.accountStats.List(t, maxListedAccounts) {
+		s.Entries = append(s.Entries, thadmin.AccountEntry(e))
+	}
+	return s
+}
+
 func (d *Daemon) ejected() map[string]bool {
 	ejected := map[string]bool{}
 	for _, b := range d.balancer.Servers() {
