--- a/thsettings/omitted_test.go
+++ b/thsettings/omitted_test.go
@@ -2,17 +2,19 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"gotest.tools/v3/assert"
 )
 
-// sectionPattern matches a section of a template around a single value.
-var sectionPattern = regexp.MustCompile(`\{\{#([a-z_.0-9]+)\}\}\{\{\.\}\}([A-Za-z]*)\{\{/[a-z_.0-9]+\}\}`)
+// sectionPattern matches a section of a template, which is used if its value is given.
+var sectionPattern = regexp.MustCompile(`\{\{#([a-z_.0-9]+)\}\}(.*?)\{\{/[a-z_.0-9]+\}\}`)
 
 // valuePattern matches a value of a template.
 var valuePattern = regexp.MustCompile(`\{\{[a-z_.0-9]+\}\}`)
@@ -29,7 +31,7 @@
 		if !found {
 			return nil
 		}
-		return append([]byte(value), parts[2]...)
+		return bytes.ReplaceAll(parts[2], []byte("{{.}}"), []byte(value))
 	})
 	return valuePattern.ReplaceAllFunc(body, func(m []byte) []byte {
 		return []byte(values[strings.Trim(string(m), "{}")])
@@ -59,17 +61,22 @@
 	assert.DeepEqual(t, s.Move, want.Move)
 	assert.Equal(t, s.Stop.Limit, want.Stop.Limit)
 	assert.Equal(t, s.Memory.Limit, want.Memory.Limit)
+	assert.DeepEqual(t, s.Usage, want.Usage, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.Assert(t, !s.Usage.Api.IsValid())
 }
 
 // Guards against a term of the platform that is lost on the way into the settings.
 func TestGivenTermsAreUsed(t *testing.T) {
 	values := identity()
 	values["bounds.cold_over"], values["bounds.config_apply_s"], values["limits.memory_mb"] = "1.5", "2.5", "184"
+	values["cloud.address"], values["bounds.report_window_s"], values["bounds.usage_late_s"] = "127.0.0.1:9001", "5", "12.5"
 	s, err := Parse("daemon.ini", renderTemplate(t, values), RoleDaemon)
 	assert.NilError(t, err)
 	assert.Equal(t, s.Server.Cold, 1.5)
 	assert.Equal(t, s.Platform.Apply.String(), "2.5s")
 	assert.Equal(t, s.Memory.Limit, 184<<20)
+	assert.Equal(t, s.Usage.Api, netip.MustParseAddrPort("127.0.0.1:9001"))
+	assert.Equal(t, s.Usage.Late.String(), "12.5s")
 }
 
 // Guards against a required key without a value that counts as set.
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -17,6 +17,7 @@
 	Limits   LimitsSettings   // Limits on calls.
 	Budget   BudgetSettings   // Repeats that the whole fleet may send to a service in any window, with kind rows.
 	Move     MoveSettings     // Limit on the calls that a new version gets from the start of a move to its deadline, until it has passed all load tests.
+	Usage    UsageSettings    // Reports of the usage of client accounts to the platform, with kind rows.
 	Memory   MemorySettings   // Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.
 	Stop     StopSettings     // Graceful shutdown.
 	Log      LogSettings      // Logging.
@@ -92,6 +93,14 @@
 	Slack    float64 // Calls to the new version beyond that.
 }
 
+// UsageSettings is section [usage]. Reports of the usage of client accounts to the platform, with kind rows.
+type UsageSettings struct {
+	Api    netip.AddrPort // Address of the platform's API for the reports. Without it nothing is counted or reported.
+	Window time.Duration  // Length of the windows of the time of day that are reported.
+	Late   time.Duration  // Time after the end of a window within which its report is due.
+	Lease  time.Duration  // Lease of the daemon that reports for the fleet. When that daemon fails, another one takes over a little later than this.
+}
+
 // MemorySettings is section [memory]. Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.
 type MemorySettings struct {
 	Growth int // Growth of the heap, in percent, at which it is collected. A daemon's live heap is some 10 MB: with 100 the many short-lived objects of heavy traffic cause several collections a second, which delay calls; with 800 the peak is several times as high.
@@ -110,7 +119,7 @@
 	Level string // Lowest level that is logged.
 }
 
-var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "move", "memory", "stop", "log"}
+var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "move", "usage", "memory", "stop", "log"}
 
 var keys = []key{
 	{section: "daemon", name: "name", defaultValue: "", requiredBy: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Name, err = checkDaemonName(v); return err }},
@@ -154,6 +163,10 @@
 	{section: "budget", name: "window", defaultValue: "10s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Budget.Window, err = checkBudgetWindow(v); return err }},
 	{section: "move", name: "exposure", defaultValue: "0.1", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Move.Exposure, err = checkMoveExposure(v); return err }},
 	{section: "move", name: "slack", defaultValue: "50", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Move.Slack, err = checkMoveSlack(v); return err }},
+	{section: "usage", name: "api", defaultValue: "", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Usage.Api, err = checkUsageApi(v); return err }},
+	{section: "usage", name: "window", defaultValue: "5s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Usage.Window, err = checkUsageWindow(v); return err }},
+	{section: "usage", name: "late", defaultValue: "10s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Usage.Late, err = checkUsageLate(v); return err }},
+	{section: "usage", name: "lease", defaultValue: "3s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Usage.Lease, err = checkUsageLease(v); return err }},
 	{section: "memory", name: "growth", defaultValue: "800", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Memory.Growth, err = checkMemoryGrowth(v); return err }},
 	{section: "memory", name: "limit", defaultValue: "200MiB", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Memory.Limit, err = checkMemoryLimit(v); return err }},
 	{section: "stop", name: "limit", defaultValue: "0s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Stop.Limit, err = checkStopLimit(v); return err }},
@@ -248,6 +261,20 @@
 
 func checkMoveSlack(v string) (float64, error) { return parseRatio(v, 0, 100000) }
 
+func checkUsageApi(v string) (netip.AddrPort, error) { return parseAddress(v) }
+
+func checkUsageWindow(v string) (time.Duration, error) {
+	return parseDuration(v, 1*time.Second, 3600*time.Second)
+}
+
+func checkUsageLate(v string) (time.Duration, error) {
+	return parseDuration(v, 2*time.Second, 3600*time.Second)
+}
+
+func checkUsageLease(v string) (time.Duration, error) {
+	return parseDuration(v, 1*time.Second, 60*time.Second)
+}
+
 func checkMemoryGrowth(v string) (int, error) { return parseCount(v, 10, 10000) }
 
 func checkMemoryLimit(v string) (int, error) { return parseBytes(v, "16MiB", "1023MiB") }
@@ -369,6 +396,17 @@
 	"# Calls to the new version beyond that. (0 to 100000)\n" +
 	"#slack = 50\n" +
 	"\n" +
+	"# Reports of the usage of client accounts to the platform, with kind rows.\n" +
+	"[usage]\n" +
+	"# Address of the platform's API for the reports. Without it nothing is counted or reported.\n" +
+	"#api = \n" +
+	"# Length of the windows of the time of day that are reported. (1s to 1h)\n" +
+	"#window = 5s\n" +
+	"# Time after the end of a window within which its report is due. (2s to 1h)\n" +
+	"#late = 10s\n" +
+	"# Lease of the daemon that reports for the fleet. When that daemon fails, another one takes over a little later than this. (1s to 1m)\n" +
+	"#lease = 3s\n" +
+	"\n" +
 	"# Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.\n" +
 	"[memory]\n" +
 	"# Growth of the heap, in percent, at which it is collected. A daemon's live heap is some 10 MB: with 100 the many short-lived objects of heavy traffic cause several collections a second, which delay calls; with 800 the peak is several times as high. (10 to 10000)\n" +
@@ -491,6 +529,17 @@
 	"| `exposure` | ratio | 0.01 to 1 | `0.1` | no | Calls to the new version for each call to either version. |\n" +
 	"| `slack` | ratio | 0 to 100000 | `50` | no | Calls to the new version beyond that. |\n" +
 	"\n" +
+	"## [usage]\n" +
+	"\n" +
+	"Reports of the usage of client accounts to the platform, with kind rows.\n" +
+	"\n" +
+	"| key | type | range | default | required | meaning |\n" +
+	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `api` | address |  |  | no | Address of the platform's API for the reports. Without it nothing is counted or reported. |\n" +
+	"| `window` | duration | 1s to 1h | `5s` | no | Length of the windows of the time of day that are reported. |\n" +
+	"| `late` | duration | 2s to 1h | `10s` | no | Time after the end of a window within which its report is due. |\n" +
+	"| `lease` | duration | 1s to 1m | `3s` | no | Lease of the daemon that reports for the fleet. When that daemon fails, another one takes over a little later than this. |\n" +
+	"\n" +
 	"## [memory]\n" +
 	"\n" +
 	"Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.\n" +
