Add a command that checks a configuration before it is sent

`turmerichaven check FILE` decodes a configuration of a platform of kind rows, reports its errors, warns of entries that no request can match or reach and of limits that contradict each other, and lists what differs from the version in the store, or in another file. It changes nothing and shows no keys.

--- a/thcommand/commands.go
+++ b/thcommand/commands.go
@@ -27,6 +27,7 @@
 		}},
 		{name: "apply", short: "Apply a table file", long: "Makes the committed routes and pools those of the table file, removals included. `diff` shows the edits first." + editHelp, options: &applyCommand{editor: editor{session: s}}},
 		{name: "diff", short: "Compare a table file", long: "Lists the edits that `apply` would commit and changes nothing.", options: &diffCommand{session: s}},
+		{name: "check", short: "Check a configuration before it is sent", long: "Checks a configuration of a platform of kind rows and changes nothing: errors, entries that no request can match, limits that contradict each other, and what differs from the version in the store of the settings (--settings), or in the file of --against. Shows no keys.", options: &checkCommand{session: s}},
 		{name: "move", short: "Move traffic between pools", long: moveHelp, subcommands: []command{
 			{name: "start", short: "Start a move", long: moveHelp + "--deadline is a duration from now (30m) or a time in RFC 3339 (2026-01-02T15:04:05Z)." + editHelp, options: &moveStart{editor: editor{session: s}}},
 			{name: "status", short: "Show moves", long: "Shows the moves: from the store, or with share, step and reason from the daemon at --admin.", options: &moveStatus{session: s}},
