Let callers repeat shed calls within their latency objective

Cause: a server that sheds names no time, and the header was rounded up to whole seconds.

Change: where callers understand fractions, as on a platform of rows, the time is a fifth of the objective. Such a server rejects calls although the gate beside it has room, so no place comes free at a certain time; another attempt may succeed at once. The time of rejections by the gate stays in whole seconds.

--- a/thproxy/header.go
+++ b/thproxy/header.go
@@ -55,6 +55,8 @@
 	ClientKey      string // key of a client account, which goes no further than the ingress
 	Account        string // name of the client account
 	ChildSeparator string // not a header: between a request ID and the suffix that a backend server adds for its nested calls
+	// FractionalRetryAfter means that callers understand fractions of a second in Retry-After.
+	FractionalRetryAfter bool
 }
 
 // defaultHeaders holds the default names.
--- a/thproxy/response.go
+++ b/thproxy/response.go
@@ -36,7 +36,7 @@
 		h.Set("Www-Authenticate", authenticateChallenge) // required by RFC 9110, section 11.6.1
 	}
 	if wait := therror.RetryAfter(err); a.Retryable || wait > 0 {
-		h.Set("Retry-After", strconv.FormatInt(max(1, int64((wait+time.Second-1)/time.Second)), 10))
+		h.Set("Retry-After", c.retryAfterValue(err, wait))
 	}
 	text := err.Error() + "\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
@@ -50,6 +50,21 @@
 	}
 }
 
+// shedRetryFraction is the part of the latency objective after which a caller may repeat a call
+// that a backend server has shed. Such a server rejects calls although the gate beside it has
+// room, so a place does not come free at a certain time: another attempt may succeed at once,
+// and this much later it can still be in time.
+const shedRetryFraction = 0.2
+
+// retryAfterValue returns the Retry-After of an error response: wait in whole seconds, at least
+// one.
+func (c *call) retryAfterValue(err error, wait time.Duration) string {
+	if c.route != nil && c.route.Target > 0 && wait == 0 && therror.Is(err, therror.Shed) && headersOrDefault(c.Headers).FractionalRetryAfter {
+		return strconv.FormatFloat(shedRetryFraction*c.route.Target.Seconds(), 'f', 3, 64)
+	}
+	return strconv.FormatInt(max(1, int64((wait+time.Second-1)/time.Second)), 10)
+}
+
 // closeUnread makes net/http close the connection of an HTTP/1.1 caller if the
 // response starts before the end of the request body. Otherwise net/http could
 // parse the rest of the body as the next request.
