thwire: messages of usage reports

Change: UsageCounts, UsageWindow, UsageCount and UsageReply with limits on their lists.

Tested: go test -race ./thwire, with the new messages in the tests of odd and hostile payloads.

--- a/thwire/frame.go
+++ b/thwire/frame.go
@@ -42,6 +42,8 @@
 	TypeConfigHead        Type = 26
 	TypeDeparture         Type = 27
 	TypeServerLimit       Type = 28
+	TypeUsageCounts       Type = 29
+	TypeUsageReply        Type = 30
 )
 
 // Sizes of a frame and its parts, in bytes.
--- a/thwire/limit_test.go
+++ b/thwire/limit_test.go
@@ -67,6 +67,9 @@
 		"facts of an update":   {&Update{}, arrays("f", "", emptyMap)},
 		"counts of a report":   {&Report{}, arrays("c", "", emptyMap)},
 		"latency of a report":  {&Report{}, arrays("c", "l", zero)},
+		"usage windows":        {&UsageCounts{}, arrays("w", "", emptyMap)},
+		"counts of usage":      {&UsageCounts{}, arrays("w", "c", emptyMap)},
+		"windows of a reply":   {&UsageReply{}, arrays("r", "", zero)},
 		"headers of a call":    {&Open{}, arrays("e", "", emptyMap)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/thwire/odd_test.go
+++ b/thwire/odd_test.go
@@ -20,7 +20,7 @@
 	messages := []msgp.Unmarshaler{
 		&Hello{}, &Update{}, &Delta{}, &KnownVersion{}, &Fetch{}, &Batch{}, &Ping{}, &Pong{}, &Probe{}, &ProbeResult{}, &StateDigest{},
 		&Summary{}, &Report{}, &Open{}, &Head{}, &End{}, &Refuse{}, &Cancel{}, &Credit{}, &GoAway{}, &RecordRequest{},
-		&ConfigHeadRequest{}, &ConfigHead{}, &Departure{}, &CrashRecord{},
+		&ConfigHeadRequest{}, &ConfigHead{}, &Departure{}, &CrashRecord{}, &UsageCounts{}, &UsageWindow{}, &UsageReply{},
 	}
 	odd := map[string]string{
 		"nil": "\xc0", "largest map": "\xdf\xff\xff\xff\xff", "largest array": "\xdd\xff\xff\xff\xff", "largest text": "\xdb\xff\xff\xff\xff",
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -295,6 +295,51 @@
 	Unfinished []uint64 `msg:"u,limit=256"`
 }
 
+// UsageCounts carries the requests that the sender has counted by account to a collector of
+// usage reports. The reply is a UsageReply.
+type UsageCounts struct {
+	Process uint64        `msg:"p"` // random id of the sender's process
+	Now     int64         `msg:"n"` // true time of the sender, in ns since 1970
+	Windows []UsageWindow `msg:"w,limit=16"`
+}
+
+// UsageWindow is the usage of one window at one daemon, or the accounts whose counts have
+// changed since the last message.
+type UsageWindow struct {
+	Number int64 `msg:"n"`
+	// Final means that the receiver now has all counts of the window and that they no longer
+	// change.
+	Final  bool         `msg:"f"`
+	Counts []UsageCount `msg:"c,limit=2048"`
+}
+
+// UsageCount is the number of requests of an account since the window began.
+type UsageCount struct {
+	Account string `msg:"a"`
+	Count   uint64 `msg:"c"`
+}
+
+// Limits of UsageCounts. The tags of its fields repeat the first two.
+const (
+	MaxUsageWindows = 16
+	MaxUsageCounts  = 2048 // of one window
+	MaxAccountBytes = 256  // of the name of an account
+)
+
+// UsageReply is the reply to UsageCounts. A daemon that has become the holder of the duty of
+// reporting also sends one without Received to all others.
+type UsageReply struct {
+	Now      int64   `msg:"n"`          // true time of the sender, in ns since 1970
+	Received []int64 `msg:"r,limit=16"` // windows whose final counts the sender has
+	// Holder, Token and Version are what the sender knows of the holder; empty if nothing.
+	Holder  string `msg:"h"`
+	Token   uint64 `msg:"t"`
+	Version uint64 `msg:"v"`
+	// Asked is Now of the UsageCounts that this answers, from which its sender measures the
+	// round trip; zero if it answers none.
+	Asked int64 `msg:"a"`
+}
+
 // Load is the load that a target daemon reports with each response.
 type Load struct {
 	Limit  int  `msg:"l"` // admission limit, in calls
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -3799,6 +3799,429 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z UsageCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Account)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Account, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Account")
+				return
+			}
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageCount) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageCounts) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "p"
+	o = append(o, 0x83, 0xa1, 0x70)
+	o = msgp.AppendUint64(o, z.Process)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Now)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Windows)))
+	for za0001 := range z.Windows {
+		o, err = z.Windows[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Windows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCounts) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Process, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Process")
+				return
+			}
+		case "n":
+			z.Now, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Now")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Windows")
+				return
+			}
+			if zb0002 > 16 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Windows) >= int(zb0002) {
+				z.Windows = (z.Windows)[:zb0002]
+			} else {
+				z.Windows = make([]UsageWindow, zb0002)
+			}
+			for za0001 := range z.Windows {
+				bts, err = z.Windows[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Windows", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageCounts) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Windows {
+		s += z.Windows[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "n"
+	o = append(o, 0x86, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Now)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Received)))
+	for za0001 := range z.Received {
+		o = msgp.AppendInt64(o, z.Received[za0001])
+	}
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Token)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt64(o, z.Asked)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Now, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Now")
+				return
+			}
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Received")
+				return
+			}
+			if zb0002 > 16 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Received) >= int(zb0002) {
+				z.Received = (z.Received)[:zb0002]
+			} else {
+				z.Received = make([]int64, zb0002)
+			}
+			for za0001 := range z.Received {
+				z.Received[za0001], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Received", za0001)
+					return
+				}
+			}
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "t":
+			z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "a":
+			z.Asked, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Asked")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Received) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageWindow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "n"
+	o = append(o, 0x83, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Number)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Final)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Counts[za0001].Account)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.Counts[za0001].Count)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageWindow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zb417a25dlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Number, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "f":
+			z.Final, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Final")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if zb0002 > 2048 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+				if zb0003 > 2048 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Counts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.Counts[za0001].Account, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Account")
+							return
+						}
+					case "c":
+						z.Counts[za0001].Count, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageWindow) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Counts[za0001].Account) + 2 + msgp.Uint64Size
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *VersionGroup) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
