thwire: reply with the first window that is not reported

Cause: after the store is restored from a copy, its state names windows as unreported that were reported, and a holder that did not report them itself can't know that.

--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -335,6 +335,9 @@
 	Holder  string `msg:"h"`
 	Token   uint64 `msg:"t"`
 	Version uint64 `msg:"v"`
+	// First is the first window that is not known to be reported. It keeps a holder from reporting
+	// windows again after the store was restored from a copy.
+	First int64 `msg:"f"`
 	// Asked is Now of the UsageCounts that this answers, from which its sender measures the
 	// round trip; zero if it answers none.
 	Asked int64 `msg:"a"`
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -3968,9 +3968,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *UsageReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "n"
-	o = append(o, 0x86, 0xa1, 0x6e)
+	o = append(o, 0x87, 0xa1, 0x6e)
 	o = msgp.AppendInt64(o, z.Now)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -3987,6 +3987,9 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendUint64(o, z.Version)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.First)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt64(o, z.Asked)
@@ -4062,6 +4065,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "f":
+			z.First, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
 		case "a":
 			z.Asked, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -4082,7 +4091,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UsageReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Received) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Received) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
