--- a/thstandin/instance.go
+++ b/thstandin/instance.go
@@ -12,9 +12,13 @@
 )
 
 // ExecutedRequest is one request that an Instance has run. RequestID and Caller are its
-// headers X-Request-Id and X-Caller-Service, Target its request URI.
+// headers X-Request-Id and X-Caller-Service, Target its request URI. Account is its header
+// X-Tenant-Id, empty if it has none. Keyed means that it has a header X-Api-Key, which a daemon
+// must not pass on.
 type ExecutedRequest struct {
 	RequestID, Caller, Method, Target, Body string
+	Account                                 string
+	Keyed                                   bool
 }
 
 // Instance is a backend server of the users' platform: it runs requests, sends its id
@@ -57,6 +61,7 @@
 	i.runs = append(i.runs, ExecutedRequest{
 		RequestID: r.Header.Get("X-Request-Id"), Caller: r.Header.Get("X-Caller-Service"),
 		Method: r.Method, Target: r.RequestURI, Body: string(body),
+		Account: r.Header.Get("X-Tenant-Id"), Keyed: len(r.Header.Values("X-Api-Key")) > 0,
 	})
 	i.arrivals = append(i.arrivals, time.Now())
 	i.active++
