Connect accounts, the lease and usage reports in the daemon

Builds the reporter and the election of the holder where the settings have an address for reports, passes the duty on before a stop, and shows the duty in the status.

--- a/thadmin/status.go
+++ b/thadmin/status.go
@@ -18,6 +18,7 @@
 
 	Quarantine []QuarantineEntry `json:"quarantine,omitempty"`
 	Accounts   *AccountsStatus   `json:"accounts,omitempty"` // nil if requests need no key
+	Duties     []DutyStatus      `json:"duties,omitempty"`
 }
 
 // AccountsStatus describes the client accounts and their calls at the responding daemon.
@@ -43,6 +44,18 @@
 	Until       time.Time `json:"until"`
 }
 
+// DutyStatus describes work that one daemon of the fleet does at a time, as the responding
+// daemon knows it.
+type DutyStatus struct {
+	Name     string  `json:"name"`
+	Holder   string  `json:"holder"` // daemon; empty if unknown
+	Token    uint64  `json:"token"`  // fencing token of the holder
+	Age      float64 `json:"age"`    // seconds since this daemon heard of the holder
+	Reported uint64  `json:"reported"`
+	Due      int     `json:"due"`  // ended windows without a report, at the holder
+	Late     int     `json:"late"` // those of them that should have been reported
+}
+
 // SelfStatus describes the responding daemon.
 type SelfStatus struct {
 	Name    string    `json:"name"`
--- a/thcommand/status.go
+++ b/thcommand/status.go
@@ -62,6 +62,10 @@
 		s.printf(s.Out, "\n")
 		s.printMoves(status.Moves, true)
 	}
+	for _, duty := range status.Duties {
+		s.printf(s.Out, "\nduty      %s: holder %s, token %d, heard of %.1f s ago; here %d windows reported, %d due, %d late\n",
+			duty.Name, choose(duty.Holder != "", duty.Holder, "unknown"), duty.Token, duty.Age, duty.Reported, duty.Due, duty.Late)
+	}
 	if status.Accounts != nil {
 		s.printf(s.Out, "\n")
 		s.printAccounts(status.Accounts)
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -82,6 +82,7 @@
 	crashStore       *crashStore
 	departed         departedInstances
 	accountStats     thaccount.Stats
+	usage            *usage      // nil without reports of usage
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
 	endsAt           atomic.Int64 // thclock.Stamp of when a stopping daemon ends; zero until the end of the notice
@@ -341,7 +342,7 @@
 
 func (d *Daemon) start(ctx context.Context) error {
 	steps := []func(context.Context) error{
-		d.replica.Start, d.node.Start, d.mover.Start, d.background.Start, d.listener.Start, d.serve,
+		d.replica.Start, d.node.Start, d.mover.Start, d.background.Start, d.usage.start, d.listener.Start, d.serve,
 	}
 	for _, s := range steps {
 		if err := s(ctx); err != nil {
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -68,6 +68,7 @@
 			local.update(e)
 		}
 	})
+	d.buildUsage()
 }
 
 // localServer passes changes of the local backend server to the scheduler and the
--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -79,6 +79,9 @@
 	for _, e := range d.crashes.Quarantine() {
 		s.Quarantine = append(s.Quarantine, thadmin.QuarantineEntry(e))
 	}
+	if u := d.usage.status(); u != nil {
+		s.Duties = append(s.Duties, *u)
+	}
 	view := d.node.View()
 	if view == nil {
 		return s
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -104,6 +104,7 @@
 	d.sessions.goAway("stopping")
 	// A store that does not respond must not shorten the time for the calls.
 	d.work.Go(func() { d.announcer.withdraw(ctx) })
+	d.work.Go(func() { d.usage.yield(ctx, d.Settings.Stop.Notice+gracePeriod(d.Settings.Stop)) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
 	d.endsAt.Store(thclock.Stamp(d.Clock.Now().Add(gracePeriod(d.Settings.Stop))))
 	ctx, cancel := context.WithTimeout(ctx, gracePeriod(d.Settings.Stop))
@@ -133,7 +134,7 @@
 	d.sessions.close()
 	d.updater.stop()
 	d.dialer.Close()
-	for _, stop := range []func(){d.mover.Stop, d.replica.Stop, d.background.Stop, d.listener.Stop, d.node.Stop} {
+	for _, stop := range []func(){d.usage.stop, d.mover.Stop, d.replica.Stop, d.background.Stop, d.listener.Stop, d.node.Stop} {
 		stop()
 	}
 	for _, stop := range d.closers {
