Leave nested calls out of the usage

Cause: calls that a backend server makes for a request have its account and were counted beside it. They are part of a request that was counted.

Change: the call says that it is nested, and the target doesn't count it.

Test: TestBegunCallsAreCounted.

--- a/thdaemon/usage.go
+++ b/thdaemon/usage.go
@@ -20,8 +20,6 @@
 // usage counts the requests of client accounts and reports them to the platform.
 type usage struct {
 	*thusage.Reporter
-
-	counter *thusage.Counter
 }
 
 // buildUsage builds the reports of usage, if the settings have an address for them.
@@ -35,24 +33,16 @@
 		Rank: d.usageRank, Clock: d.Clock, Log: d.Log.Named("lease"),
 	}
 	counter := &thusage.Counter{}
-	d.usage = &usage{counter: counter, Reporter: &thusage.Reporter{
+	d.usage = &usage{Reporter: &thusage.Reporter{
 		Name: d.Settings.Daemon.Name, Window: s.Window, Late: s.Late, Counter: counter, Lease: lease,
 		API: &rowplatform.UsageAPI{Address: s.Api}, Send: d.node.Send,
 		Members: func() []thwire.Member { return d.node.View().Alive() }, Clock: d.Clock, Log: d.Log.Named("usage"),
 	}}
-	d.target.OnBegin = d.usage.began
+	d.target.OnBegin = counter.Began
 	d.node.Handle(thwire.TypeUsageCounts, d.usage.HandleCounts)
 	d.node.Handle(thwire.TypeUsageReply, d.usage.HandleReply)
 }
 
-// began counts a call of an account that is sent to the backend server.
-func (u *usage) began(account string) (undo func()) {
-	if account == "" {
-		return func() {}
-	}
-	return u.counter.Began(account)
-}
-
 // usageRank returns the position of this daemon among those that may take over the duty;
 // negative if it may not, as while it stops.
 func (d *Daemon) usageRank() int {
--- a/thproxy/account_test.go
+++ b/thproxy/account_test.go
@@ -193,8 +193,8 @@
 	assert.Equal(t, m.last().Get(testKeyHeader)+m.last().Get(testAccountHeader), "k1a")
 }
 
-// Guards against counts of requests that did not begin at the backend server, and against
-// requests that began and are not counted.
+// Guards against counts of requests that did not begin at the backend server or are part of a
+// counted one, and against requests that began and are not counted.
 func TestBegunCallsAreCounted(t *testing.T) {
 	const rejected = "X-Rejected"
 	var mutex sync.Mutex
@@ -219,13 +219,19 @@
 		return func() { count(account, -1) }
 	}
 	m.ingress.Headers = &Headers{ClientKey: testKeyHeader, Account: testAccountHeader}
+	m.ingress.Headers.RequestID, m.ingress.Headers.ChildSeparator, m.ingress.ActiveCalls = testIDHeader, ".", &ActiveCalls{}
+	defer m.ingress.ActiveCalls.add("run", &thwire.Open{Account: "acme"})()
 	table := thaccount.Compile(&thconfig.Tables{Keyed: true, Accounts: []thconfig.Account{testAccount(t, "acme", 0, "k1")}})
 	m.ingress.Accounts = func() *thaccount.Table { return table }
-	for _, path := range []string{"/served", "/rejected", "/broken"} {
+	for _, path := range []string{"/served", "/rejected", "/broken", "/nested"} {
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		request, err := http.NewRequestWithContext(ctx, http.MethodPost, m.front.URL+path, nil)
 		assert.NilError(t, err)
-		request.Header.Set(testKeyHeader, "k1")
+		if path == "/nested" {
+			request.Header.Set(testIDHeader, "run.1")
+		} else {
+			request.Header.Set(testKeyHeader, "k1")
+		}
 		resp, err := m.client.Do(request)
 		assert.NilError(t, err)
 		resp.Body.Close()
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -320,7 +320,7 @@
 		c.open.Header = append(withoutHeader(c.open.Header, names.Caller), thwire.Header{Name: names.Caller, Value: c.LocalService})
 	}
 	c.baseHeaderCount = len(c.open.Header)
-	c.open.Begun = c.parent.hasResponses()
+	c.open.Nested, c.open.Begun = c.parent != nil, c.parent.hasResponses()
 	if err := c.setIdempotencyKey(r.Header[names.Key]); err != nil {
 		return err
 	}
--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -68,8 +68,9 @@
 	// observer of the call. A call that is not allowed is rejected without being sent.
 	// OnDispatch may be nil.
 	OnDispatch func(route, pool string, cold bool) (observer CallObserver, allowed bool)
-	// OnBegin is called with the account of a call that is sent to the backend server, and
-	// returns a function that is called if the server has not run it. It may be nil.
+	// OnBegin is called with the account of a request that is sent to the backend server, and
+	// returns a function that is called if the server has not run it. Nested calls are part of
+	// a request that was counted. OnBegin may be nil.
 	OnBegin func(account string) (undo func())
 	// OnLoadReport receives the load that the backend server reports in a response
 	// header; it may be nil.
@@ -251,8 +252,8 @@
 	if c.Open().Again {
 		ctx = withNewConnection(ctx)
 	}
-	if t.OnBegin != nil {
-		undo := t.OnBegin(c.Open().Account)
+	if o := c.Open(); t.OnBegin != nil && o.Account != "" && !o.Nested {
+		undo := t.OnBegin(o.Account)
 		defer func() {
 			if therror.IsNotRun(err) {
 				undo()
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -400,6 +400,8 @@
 	// Account is the name of the client account that the call belongs to, empty without one.
 	Account string `msg:"f,omitempty"`
 	Rank    int    `msg:"q,omitempty"` // priority of the account, which goes before Priority
+	// Nested means that a backend server makes the call for a request that it runs.
+	Nested bool `msg:"j,omitempty"`
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1962,8 +1962,8 @@
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(24)
-	var zb0001Mask uint32 /* 24 bits */
+	zb0001Len := uint32(25)
+	var zb0001Mask uint32 /* 25 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
@@ -1981,6 +1981,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x800000
 	}
+	if z.Nested == false {
+		zb0001Len--
+		zb0001Mask |= 0x1000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2075,6 +2079,11 @@
 			o = append(o, 0xa1, 0x71)
 			o = msgp.AppendInt(o, z.Rank)
 		}
+		if (zb0001Mask & 0x1000000) == 0 { // if not omitted
+			// string "j"
+			o = append(o, 0xa1, 0x6a)
+			o = msgp.AppendBool(o, z.Nested)
+		}
 	}
 	return
 }
@@ -2295,6 +2304,12 @@
 				err = msgp.WrapError(err, "Rank")
 				return
 			}
+		case "j":
+			z.Nested, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Nested")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2313,7 +2328,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.IntSize
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
