--- a/thdaemon/status.go
+++ b/thdaemon/status.go
@@ -231,6 +231,7 @@
 		d.metrics.SetCrashRequests(d.crashes.Counts())
 		d.exportMembers()
 		d.exportMoves()
+		d.usage.export(d.metrics)
 	}
 }
 
--- a/thdaemon/usage.go
+++ b/thdaemon/usage.go
@@ -7,6 +7,7 @@
 	rowplatform "github.com/turmerichaven/turmerichaven/platform"
 	"github.com/turmerichaven/turmerichaven/thadmin"
 	"github.com/turmerichaven/turmerichaven/thlease"
+	"github.com/turmerichaven/turmerichaven/thmetric"
 	"github.com/turmerichaven/turmerichaven/thusage"
 	"github.com/turmerichaven/turmerichaven/thwire"
 )
@@ -83,6 +84,16 @@
 	u.Lease.Stop()
 }
 
+// export copies the state of the duty to the metrics.
+func (u *usage) export(m *thmetric.Metrics) {
+	if u == nil {
+		return
+	}
+	s := u.Status()
+	_, holds := u.Lease.Held()
+	m.SetUsage(holds, s.Token, s.Reported, s.Due, s.Late)
+}
+
 // status returns the state of the duty as this daemon knows it; nil without reports.
 func (u *usage) status() *thadmin.DutyStatus {
 	if u == nil {
--- a/thmetric/metrics.go
+++ b/thmetric/metrics.go
@@ -139,6 +139,17 @@
 	m.setGauge("queued", float64(queued))
 }
 
+// SetUsage sets the state of the duty of reporting usage at this daemon: whether it is the
+// holder, the fencing token of the holder, the windows that this process has reported, and the
+// ended ones that are not reported and those that should have been.
+func (m *Metrics) SetUsage(holder bool, token, reported uint64, due, late int) {
+	m.setGauge("holder", boolValue(holder))
+	m.setGauge("token", float64(token))
+	m.setGauge("reported", float64(reported))
+	m.setGauge("due", float64(due))
+	m.setGauge("late", float64(late))
+}
+
 // SetMembers sets the number of fleet members in each state.
 func (m *Metrics) SetMembers(alive, suspect, leaving, dead int) {
 	m.once.Do(m.register)
@@ -280,6 +291,11 @@
 		{"limit", "Concurrency limit of the backend server."},
 		{"active", "Calls in progress at the backend server."},
 		{"queued", "Calls in the admission queue."},
+		{"holder", "1 while this daemon holds the duty of reporting usage."},
+		{"token", "Fencing token of the holder of the duty of reporting usage, as far as known."},
+		{"reported", "Windows whose usage this process has reported."},
+		{"due", "Ended windows whose usage is not reported, at the holder."},
+		{"late", "Windows whose usage should have been reported, at the holder."},
 	} {
 		v := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: gaugeNames[g[0]], Help: g[1]})
 		m.registry.MustRegister(v)
@@ -293,6 +309,8 @@
 var gaugeNames = map[string]string{
 	"version": "version_held", "known": "version_known", "lag": "version_lag_seconds", "alarm": "version_alarm",
 	"ready": "ready", "breaker": "platform_breaker_open",
+	"holder": "usage_holder", "token": "usage_token", "reported": "usage_windows_reported",
+	"due": "usage_windows_due", "late": "usage_windows_late",
 	"limit": "admission_limit", "active": "admission_active", "queued": "admission_queued",
 }
 
--- a/thstandin/rows.go
+++ b/thstandin/rows.go
@@ -204,6 +204,19 @@
 	return r, found
 }
 
+// Keys returns the keys of the rows of a table and part that begin with prefix, in no order.
+func (s *RowStore) Keys(table, part, prefix string) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var keys []string
+	for k := range s.rows {
+		if k.table == table && k.part == part && strings.HasPrefix(k.key, prefix) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
 // notifyFeeds wakes waiting feeds. The caller holds the mutex.
 func (s *RowStore) notifyFeeds() {
 	if s.changed != nil {
