--- a/thdaemon/usage.go
+++ b/thdaemon/usage.go
@@ -31,7 +31,7 @@
 	}
 	lease := &thlease.Lease{
 		Name: d.Settings.Daemon.Name, Duration: s.Lease, Store: d.platform.rows.Duty(dutyUsage),
-		Rank: d.usageRank, Clock: d.Clock, Log: d.Log.Named("lease"),
+		Rank: d.usageRank, Clock: d.Clock, Log: d.Log.Named("lease").With("duty", dutyUsage),
 	}
 	counter := &thusage.Counter{}
 	d.usage = &usage{Reporter: &thusage.Reporter{
