--- a/thlease/machine.go
+++ b/thlease/machine.go
@@ -451,4 +451,6 @@
 // releasing reports whether an own record has yet to be released.
 func (m *machine) releasing() bool { return m.release != nil || m.sending != nil }
 
-func errNotHolder() error { return therror.New(therror.Conflict, "this daemon is not the holder of the duty") }
+func errNotHolder() error {
+	return therror.New(therror.Conflict, "this daemon is not the holder of the duty")
+}
--- a/thlease/model_test.go
+++ b/thlease/model_test.go
@@ -46,7 +46,7 @@
 	calls   []*modelCall
 	history []Record // performed writes
 	down    bool
-	lossy   bool // answers are lost
+	lossy   bool          // answers are lost
 	delay   time.Duration // of writes, which get no answer
 }
 
@@ -92,7 +92,7 @@
 	store   modelStore
 	daemons []*modelDaemon
 	started uint64
-	talking bool // daemons tell each other what they know of the holder
+	talking bool                     // daemons tell each other what they know of the holder
 	sent    map[uint64]time.Duration // by process: when its last performed write was sent
 	acts    []modelAct
 }
@@ -289,11 +289,31 @@
 
 // fault changes one thing at random.
 func (f *fleetModel) fault() {
-	t, s := f.t, &f.store
-	d := f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(t, "daemon")]
-	switch rapid.SampledFrom([]string{
-		"pause", "pause", "kill", "restart", "step", "down", "lossy", "slow", "delay", "heal", "heal", "other", "heard", "talk", "yield", "yield", "stop", "restart", "rank", "commit",
-	}).Draw(t, "fault") {
+	s := &f.store
+	d := f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(f.t, "daemon")]
+	faults := map[string]func(){
+		"heal":  f.heal,
+		"down":  func() { s.down = true },
+		"lossy": func() { s.lossy = true },
+		"delay": func() { s.delay = f.draw("delay", 8*time.Second) },
+		"other": func() { s.newest++ }, // a write of another row
+		"talk":  func() { f.talking = !f.talking },
+		"heard": func() { f.tell(d, f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(f.t, "to")]) },
+		"yield": f.yield,
+	}
+	if fault := faults[rapid.SampledFrom([]string{
+		"heal", "heal", "down", "lossy", "delay", "other", "talk", "heard", "yield", "yield", "", "", "", "", "", "", "", "", "", "",
+	}).Draw(f.t, "fault")]; fault != nil {
+		fault()
+		return
+	}
+	f.faultOf(d)
+}
+
+// faultOf changes one daemon.
+func (f *fleetModel) faultOf(d *modelDaemon) {
+	t := f.t
+	switch rapid.SampledFrom([]string{"pause", "pause", "kill", "restart", "restart", "step", "slow", "stop", "rank", "commit"}).Draw(t, "fault") {
 	case "pause":
 		d.frozen = f.now + f.draw("pause", 8*time.Second)
 		d.suspend = rapid.Bool().Draw(t, "suspend")
@@ -303,35 +323,16 @@
 		f.start(d)
 	case "step":
 		d.clock.Step(time.Duration(rapid.IntRange(-9, 9).Draw(t, "step")) * time.Second)
-	case "down":
-		s.down = true
-	case "lossy":
-		s.lossy = true
 	case "slow":
 		d.slow = rapid.SampledFrom([]time.Duration{200 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 6 * time.Second}).Draw(t, "slow")
 		d.patient = rapid.Bool().Draw(t, "patient")
-	case "delay":
-		s.delay = f.draw("delay", 8*time.Second)
-	case "heal":
-		f.heal()
-	case "other": // a write of another row
-		s.newest++
-	case "heard":
-		f.tell(d, f.daemons[rapid.IntRange(0, len(f.daemons)-1).Draw(t, "to")])
-	case "talk":
-		f.talking = !f.talking
-	case "yield":
-		if f.runs(d) {
-			d.lease.yield(f.draw("yield", 6*time.Second))
-			d.wait = 0
-		}
+	case "rank":
+		d.rank = rapid.IntRange(-1, 2).Draw(t, "rank")
 	case "stop":
 		if f.runs(d) {
 			d.lease.stop()
 			d.wait = 0
 		}
-	case "rank":
-		d.rank = rapid.IntRange(-1, 2).Draw(t, "rank")
 	case "commit":
 		if f.runs(d) {
 			_ = d.lease.begin(&commit{done: make(chan error, 1)})
@@ -340,6 +341,16 @@
 	}
 }
 
+// yield makes the holder yield.
+func (f *fleetModel) yield() {
+	for _, d := range f.daemons {
+		if _, held := d.lease.Held(); held && f.runs(d) {
+			d.lease.yield(rapid.SampledFrom([]time.Duration{0, modelTalk, time.Second, 6 * time.Second}).Draw(f.t, "barred"))
+			d.wait = 0
+		}
+	}
+}
+
 func (f *fleetModel) runs(d *modelDaemon) bool { return !d.dead && f.now >= d.frozen }
 
 func (f *fleetModel) draw(label string, limit time.Duration) time.Duration {
@@ -372,7 +383,7 @@
 // slow and an unavailable store; and against an election that stays without a holder after them.
 func TestModelOfFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleetModel{t: t, sent: map[uint64]time.Duration{}}
+		f := &fleetModel{t: t, sent: map[uint64]time.Duration{}, talking: rapid.Bool().Draw(t, "talking")}
 		for i := range rapid.IntRange(2, 3).Draw(t, "daemons") {
 			d := &modelDaemon{name: string(rune('a' + i)), rank: i, clock: thclock.NewStepped(), boot: time.Duration(i) * time.Hour}
 			f.daemons = append(f.daemons, d)
--- a/thlease/run.go
+++ b/thlease/run.go
@@ -140,4 +140,3 @@
 		}
 	}
 }
-
