--- a/thlease/lease.go
+++ b/thlease/lease.go
@@ -145,7 +145,7 @@
 
 // Commit writes the state and rows of the duty under the lease, which it renews. It fails with
 // kind Conflict when this daemon is no longer the holder. Attempts are repeated until ctx ends;
-// after an error the content may have been written.
+// after an error the content may have been written. The values of rows must not be changed.
 func (l *Lease) Commit(ctx context.Context, state []byte, rows ...Row) error {
 	l.mutex.Lock()
 	started := l.machine != nil
