thusage: wait for the lease between OnStart and the first action

Cause: the lease holds only after OnStart has returned. A reporter that was faster got a Conflict for its first write, waited, logged a warning, and did not announce itself.

Change: the holder acts and announces itself once the lease holds. The median of the clocks needs no rule for a single other daemon, since it leans to the own time; the rule is removed.

--- a/thusage/duty_test.go
+++ b/thusage/duty_test.go
@@ -141,8 +141,35 @@
 	checkReports(t, f, firstWindow, defaultLate)
 }
 
-// Guards against transactions above the limits of the store after a long outage, and against
-// windows that are frozen without a bound.
+// Guards against other counts of a stored window that follows one without rows.
+func TestStoredWindowAfterAGap(t *testing.T) {
+	rows, _ := encodeRows(Report{8, map[string]uint64{"x": 3}})
+	d := &duty{name: "a", window: defaultWindow, late: defaultLate}
+	assert.NilError(t, d.begin(thlease.Tenure{Token: 1}, thlease.Record{State: []byte(`{"first":7}`)}, rows, 0))
+	c := &collector{window: defaultWindow}
+	for w := int64(7); w < 9; w++ {
+		c.receive("a", counts(1, w, true, "x", 5), at(w+1))
+	}
+	a, ok := d.next(at(10), time.Hour, minInterval, c, nil).(commit)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, a.rows[1:], rows)
+}
+
+// Guards against rows of reported windows that stay in the store.
+func TestRowsOfReportedWindowsAreDeleted(t *testing.T) {
+	rows, _ := encodeRows(Report{5, map[string]uint64{"x": 3}})
+	d := &duty{name: "a", window: defaultWindow, late: defaultLate}
+	assert.NilError(t, d.begin(thlease.Tenure{Token: 1}, thlease.Record{State: []byte(`{"first":7}`)}, rows, 0))
+	a, ok := d.next(at(7), time.Hour, minInterval, &collector{}, nil).(commit)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, a.rows, []thlease.Row{{Key: rows[0].Key}})
+	d.committed(a, nil, time.Hour)
+	_, ok = d.next(at(7), time.Hour, minInterval, &collector{}, nil).(wait)
+	assert.Assert(t, ok)
+}
+
+// Guards against transactions above the limits of the store after a long outage, against windows
+// that are frozen without a bound, and against more posts than the API accepts.
 func TestCommitsAreBounded(t *testing.T) {
 	d := heldDuty(t, 0)
 	c := &collector{window: defaultWindow, windows: map[int64]*collected{}}
@@ -155,6 +182,8 @@
 	}
 	elapsed := 2 * time.Hour
 	reported := 0
+	rows := map[string]bool{}
+	last := time.Duration(0)
 	for range 2000 {
 		assert.Assert(t, d.frozen-d.first <= maxFrozen+maxUnrecorded)
 		switch a := d.next(at(200), elapsed, minInterval, c, nil).(type) {
@@ -162,11 +191,15 @@
 			bytes := 0
 			for _, r := range a.rows {
 				bytes += len(r.Value)
+				rows[r.Key] = r.Value != nil
 			}
 			assert.Assert(t, len(a.rows) <= maxCommitRows && bytes <= maxCommitBytes, "%d rows of %d bytes", len(a.rows), bytes)
 			d.committed(a, nil, elapsed)
 		case post:
 			reported++
+			assert.Assert(t, elapsed-last >= time.Second/40, "more than 40 posts a second")
+			last = elapsed
+			assert.Assert(t, rows[partKey(a.report.Window, 0)], "window %d is posted and not stored", a.report.Window)
 			assert.Equal(t, a.report.Counts[strings.Repeat("x", 20)+"9"], uint64(a.report.Window))
 			d.sent(a, nil, at(200), elapsed, elapsed, nil)
 		case wait:
--- a/thusage/failure_test.go
+++ b/thusage/failure_test.go
@@ -1,6 +1,7 @@
 package thusage
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,9 +134,10 @@
 		}
 		return true, 0, nil
 	}
-	f.run(30 * time.Second)
+	f.run(31 * time.Second)
 	checkReports(t, f, firstWindow, defaultLate)
 	assert.Equal(t, f.holder().name, "b")
+	assert.Equal(t, string(f.record.State), fmt.Sprintf(`{"first":%d}`, firstWindow+6))
 	for w, at := range f.arrived {
 		assert.Assert(t, at-time.Duration(w+1)*defaultWindow < defaultLate, "window %d is late", w)
 	}
@@ -295,3 +297,35 @@
 	f.run(40 * time.Second)
 	checkReports(t, f, firstWindow, defaultLate)
 }
+
+// Guards against a collector whose new process gets only what changes after its start.
+func TestCollectorRestarts(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	f.load = func(*simDaemon) int {
+		if f.now >= simStart+12*time.Second {
+			return 0
+		}
+		return 2
+	}
+	f.run(13 * time.Second)
+	want := f.daemons[0].node.collector.total(firstWindow + 2)
+	f.boot(1, 0)
+	own := f.daemons[0].node.collector.windows[firstWindow+2].sources[source{"b", 1<<32 | 1}]
+	f.run(time.Second)
+	got := f.daemons[1].node.collector.total(firstWindow + 2)
+	assert.Assert(t, len(own) > 0 && len(want) == 3)
+	for account := range want {
+		assert.Equal(t, got[account], want[account]-own[account], account)
+	}
+}
+
+// Guards against a window that waits for the counts of a daemon that started after its end.
+func TestDaemonStartsAfterAWindow(t *testing.T) {
+	f := newFleet("a", "b", "c", "d")
+	f.kill(3)
+	f.run(15100 * time.Millisecond)
+	f.boot(3, 0)
+	f.run(10 * time.Second)
+	late := f.arrived[firstWindow+2] - time.Duration(firstWindow+3)*defaultWindow
+	assert.Assert(t, late < 2*time.Second, "reported after %s", late)
+}
--- a/thusage/node.go
+++ b/thusage/node.go
@@ -20,6 +20,8 @@
 	minInterval    = 500 * time.Millisecond
 	memberInterval = 5 * time.Millisecond
 
+	// minOthers is the number of other daemons with which a majority of clocks can exist.
+	minOthers = 2
 	// settleTime is the time that a new process waits for the time of other daemons.
 	settleTime = 2 * time.Second
 	// earlierWindows is the number of windows before its start that a process sends as final and
--- a/thusage/reporter_test.go
+++ b/thusage/reporter_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +28,7 @@
 	state   []byte
 	rows    map[string][]byte
 	commits int
+	refused int // commits without the lease
 	yields  int
 	heard   string
 	change  func(commits int) // called after a commit
@@ -53,6 +57,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.token == 0 {
+		l.refused++
 		return therror.New(therror.Conflict, "not held")
 	}
 	l.commits++
@@ -161,6 +166,18 @@
 	f.await(t, 2)
 }
 
+// post returns the next report.
+func (f *testFleet) post(t *testing.T) Report {
+	t.Helper()
+	select {
+	case r := <-f.posts:
+		return r
+	case <-time.After(20 * time.Second): // real time, for the goroutines that the clock woke
+		t.Fatal("no report")
+		return Report{}
+	}
+}
+
 // await waits until n goroutines wait for the clock.
 func (f *testFleet) await(t *testing.T, n int) {
 	t.Helper()
@@ -189,7 +206,7 @@
 		assert.DeepEqual(t, r.Status().Counts, map[string]uint64{"x": 1})
 		f.clock.Step(time.Duration(100-70*i) * time.Second)
 		f.pass(t, 5*time.Second)
-		assert.DeepEqual(t, <-f.posts, Report{firstWindow + int64(i), map[string]uint64{"x": 1}})
+		assert.DeepEqual(t, f.post(t), Report{firstWindow + int64(i), map[string]uint64{"x": 1}})
 	}
 	s := r.Status()
 	s.Counts = nil
@@ -262,6 +279,7 @@
 	f.pass(t, 8*time.Second)
 	assert.Equal(t, len(f.posts), 0)
 	assert.Equal(t, len(f.lease.rows), 1)
+	assert.Equal(t, f.lease.refused, 0)
 
 	f.lease.set(3)
 	ctx, end := r.whileHeld(context.Background(), 3)
@@ -269,6 +287,25 @@
 	f.lease.set(4)
 	assert.ErrorIs(t, ctx.Err(), context.Canceled)
 	end()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel() // so that post does not wait
+	r.post(ended, post{token: 3, report: Report{Window: firstWindow}})
+	assert.Equal(t, len(f.posts), 0)
+}
+
+// Guards against writes and warnings between OnStart and the moment from which the holder may
+// act, and against a holder that does not begin then.
+func TestHolderWaitsForItsLease(t *testing.T) {
+	r, f := newTestReporter()
+	assert.NilError(t, r.Start(context.Background()))
+	t.Cleanup(r.Stop)
+	f.await(t, 2)
+	r.startTenure(thlease.Tenure{Token: 3}, thlease.Record{}, nil)
+	f.pass(t, time.Second)
+	assert.Equal(t, f.lease.refused, 0)
+	f.lease.set(3)
+	f.pass(t, time.Second)
+	assert.Equal(t, f.lease.commits, 1)
 }
 
 // Guards against counts that are lost when a daemon stops.
@@ -329,3 +366,75 @@
 	r.Stop()
 	assert.Assert(t, therror.Is(r.Start(context.Background()), therror.Internal))
 }
+
+// memoryStore is a store of the lease in memory.
+type memoryStore struct {
+	mutex   sync.Mutex
+	record  thlease.Record
+	version uint64
+	rows    map[string][]byte
+}
+
+func (s *memoryStore) Read(context.Context) (thlease.Record, uint64, []thlease.Row, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var rows []thlease.Row
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		rows = append(rows, thlease.Row{Key: key, Value: s.rows[key]})
+	}
+	return s.record, s.version, rows, nil
+}
+
+func (s *memoryStore) Replace(_ context.Context, version uint64, r thlease.Record, rows ...thlease.Row) (uint64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if version != s.version {
+		return 0, therror.New(therror.Conflict, "version %d", s.version)
+	}
+	s.record = r
+	s.version++
+	for _, row := range rows {
+		s.rows[row.Key] = row.Value
+		if row.Value == nil {
+			delete(s.rows, row.Key)
+		}
+	}
+	return s.version, nil
+}
+
+// Guards against a reporter that does not get on with the lease: a duty that does not begin, is
+// not announced, or is not handed over with its state.
+func TestReporterWithItsLease(t *testing.T) {
+	store := &memoryStore{rows: map[string][]byte{}}
+	r, f := newTestReporter()
+	announced := make(chan thwire.UsageReply, 100)
+	r.Members = func() []thwire.Member { return []thwire.Member{{Name: "a"}, {Name: "b"}} }
+	r.Send = func(_ string, _ thwire.Type, m thwire.Message) error {
+		if reply, ok := m.(*thwire.UsageReply); ok {
+			announced <- *reply
+		}
+		return nil
+	}
+	r.lease = nil
+	r.Lease = &thlease.Lease{Name: "a", Store: store, Elapsed: r.Elapsed, Clock: f.clock}
+	assert.NilError(t, r.Start(context.Background()))
+	assert.NilError(t, r.Lease.Start(context.Background()))
+	for range 30 * time.Second / simStep {
+		f.await(t, 3)
+		f.clock.Advance(simStep)
+	}
+	first := f.post(t).Window
+	for w := first + 1; w <= firstWindow+2; w++ {
+		assert.Equal(t, f.post(t).Window, w)
+	}
+	reply := <-announced
+	assert.Equal(t, reply.Holder, "a")
+	assert.Equal(t, reply.Token, r.Status().Token)
+	r.Stop()
+	r.Lease.Stop()
+	<-r.Lease.Done()
+	assert.Equal(t, store.record.Holder, "")
+	var s dutyState
+	assert.NilError(t, json.Unmarshal(store.record.State, &s))
+	assert.Assert(t, s.First > firstWindow+2)
+}
--- a/thusage/run.go
+++ b/thusage/run.go
@@ -25,12 +25,19 @@
 		members := r.Members()
 		r.mutex.Lock()
 		held, token := r.node.duty.held, r.node.duty.token
-		a := r.node.next(members)
 		r.mutex.Unlock()
+		if held && !r.holds(token) {
+			// The tenure is about to begin or to end, or the lease awaits its renewal.
+			r.pause(ctx, leaseCheck)
+			continue
+		}
 		if held && token != announced {
 			announced = token
 			r.announce(members)
 		}
+		r.mutex.Lock()
+		a := r.node.next(members)
+		r.mutex.Unlock()
 		switch a := a.(type) {
 		case wait:
 			r.pause(ctx, a.Duration)
--- a/thusage/truetime.go
+++ b/thusage/truetime.go
@@ -15,8 +15,6 @@
 	// sampleAge is the time after which a sample no longer counts. Clocks that drift by 100 ppm
 	// differ by 6 ms after it.
 	sampleAge = time.Minute
-	// minOthers is the number of other daemons with which a majority can exist.
-	minOthers = 2
 )
 
 // trueTime is the time of day that the process started with, plus the time that has passed
@@ -62,9 +60,6 @@
 		}
 		bases = append(bases, s.base)
 	}
-	if len(bases) <= minOthers {
-		return 0
-	}
 	slices.Sort(bases)
 	low, high := bases[(len(bases)-1)/2], bases[len(bases)/2]
 	median := min(max(own, low), high)
