Estimate the bytes that wait on the network link

Load: a daemon whose link of 10 Mbit/s is used to 85% and more by responses of 90 KB beside responses of 5 KB.

Cause: nothing knew of the bytes that wait on a daemon's link, so the choice of a server counted only the calls. Frames that the kernel had accepted could not be overtaken by urgent ones.

Change: thwire.Link counts the bytes that sessions queue, and assumes that they are sent at the speed of the setting server.link. It returns the time until a response of a size would be sent: small ones don't wait for the rest of large ones. Load.Link states that time for the route, and Load.LinkTime returns it within bounds. Sessions on a link of known speed limit the unsent bytes in the kernel to one write (TCP_NOTSENT_LOWAT on Linux).

Measured over a loopback connection whose reader does not read: 3,896,251 bytes accepted by the kernel before, 98,331 with the limit. Not measured on a real link.

--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -66,6 +66,7 @@
 	Service     string         // Service of the backend server. With kind rows, heartbeats of others are refused.
 	Address     netip.AddrPort // Address of the backend server. With kind rows, heartbeats that name another one are refused.
 	Connections int            // Most connections to the backend server.
+	Link        float64        // Speed of the network link of this machine, in Mbit/s. The daemon then counts the bytes that wait on the link, states to others the time until a response would be sent, and limits the large responses in progress. Zero means that it is not known, which switches this off.
 	Cold        float64        // With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states.
 	Slots       int            // Highest number of slots that an announcement may claim.
 }
@@ -142,6 +143,7 @@
 		s.Server.Connections, err = checkServerConnections(v)
 		return err
 	}},
+	{section: "server", name: "link", defaultValue: "0", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Server.Link, err = checkServerLink(v); return err }},
 	{section: "server", name: "cold", defaultValue: "1", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Server.Cold, err = checkServerCold(v); return err }},
 	{section: "server", name: "slots", defaultValue: "1000", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Server.Slots, err = checkServerSlots(v); return err }},
 	{section: "limits", name: "wait", defaultValue: "50ms", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Wait, err = checkLimitsWait(v); return err }},
@@ -220,6 +222,8 @@
 
 func checkServerConnections(v string) (int, error) { return parseCount(v, 1, 10000) }
 
+func checkServerLink(v string) (float64, error) { return parseRatio(v, 0, 1000000) }
+
 func checkServerCold(v string) (float64, error) { return parseRatio(v, 0.1, 10) }
 
 func checkServerSlots(v string) (int, error) { return parseCount(v, 1, 100000) }
@@ -335,6 +339,8 @@
 	"#address = \n" +
 	"# Most connections to the backend server. (1 to 10000)\n" +
 	"#connections = 100\n" +
+	"# Speed of the network link of this machine, in Mbit/s. The daemon then counts the bytes that wait on the link, states to others the time until a response would be sent, and limits the large responses in progress. Zero means that it is not known, which switches this off. (0 to 1000000)\n" +
+	"#link = 0\n" +
 	"# With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states. (0.1 to 10)\n" +
 	"#cold = 1\n" +
 	"# Highest number of slots that an announcement may claim. (1 to 100000)\n" +
@@ -457,6 +463,7 @@
 	"| `service` | label |  |  | no | Service of the backend server. With kind rows, heartbeats of others are refused. |\n" +
 	"| `address` | address |  |  | no | Address of the backend server. With kind rows, heartbeats that name another one are refused. |\n" +
 	"| `connections` | count | 1 to 10000 | `100` | no | Most connections to the backend server. |\n" +
+	"| `link` | ratio | 0 to 1000000 | `0` | no | Speed of the network link of this machine, in Mbit/s. The daemon then counts the bytes that wait on the link, states to others the time until a response would be sent, and limits the large responses in progress. Zero means that it is not known, which switches this off. |\n" +
 	"| `cold` | ratio | 0.1 to 10 | `1` | no | With kind rows: calls a second that a cold backend server gets, as a multiple of the rate that its service states. |\n" +
 	"| `slots` | count | 1 to 100000 | `1000` | no | Highest number of slots that an announcement may claim. |\n" +
 	"\n" +
--- a/thwire/dialer.go
+++ b/thwire/dialer.go
@@ -39,6 +39,7 @@
 	// session needs half the memory and suffices for small calls.
 	Sessions int
 	Buffers  *BufferLimit // of the sessions; nil limits each by itself
+	Link     *Link        // of the sessions; may be nil
 
 	mutex       sync.Mutex
 	peers       map[netip.AddrPort]*peer
@@ -267,7 +268,7 @@
 		_ = c.Close()
 		return nil, therror.Wrap(therror.Down, err, "hello")
 	}
-	return startSession(c, nil, d.Clock, d.Buffers), nil
+	return startSessionOnLink(c, nil, d.Clock, d.Buffers, d.Link), nil
 }
 
 // closeAfter waits until the session has had no streams for the given time and closes
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -309,6 +309,9 @@
 	// Time is the time that the backend server takes for a call of the same route;
 	// zero if unknown.
 	Time int64 `msg:"t"` // ns
+	// Link is the time until the link of the target daemon would have sent a response of the
+	// same route that is ready now; zero if unknown. See LinkTime.
+	Link int64 `msg:"k,omitempty"` // ns
 }
 
 // Header is one line of an HTTP header.
--- a/thwire/send_queue.go
+++ b/thwire/send_queue.go
@@ -40,6 +40,7 @@
 	mixed   []byte        // the write in progress, if it has frames of several lanes
 	wake    chan struct{} // wakes the writer
 	closed  bool
+	link    *Link // counts the bytes; may be nil
 }
 
 // sender is the place of a stream in the send queue. The mutex of the queue guards it.
@@ -91,6 +92,7 @@
 	l.frames = b
 	l.queued += uint64(n)
 	q.pending += n
+	q.link.Add(n, u.isLarge())
 	if s != nil {
 		s.lane, s.position = u, l.queued
 	}
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -74,11 +74,24 @@
 	return startSession(conn, handler, nil, limit)
 }
 
+// ServeCallsOnLink is like ServeCalls for a connection on a network link, which may be nil.
+func ServeCallsOnLink(conn net.Conn, handler func(*Incoming), limit *BufferLimit, link *Link) *Session {
+	return startSessionOnLink(conn, handler, nil, limit, link)
+}
+
 func startSession(conn net.Conn, handler func(*Incoming), clock clockwork.Clock, limit *BufferLimit) *Session {
+	return startSessionOnLink(conn, handler, clock, limit, nil)
+}
+
+func startSessionOnLink(conn net.Conn, handler func(*Incoming), clock clockwork.Clock, limit *BufferLimit, link *Link) *Session {
 	s := &Session{
 		conn: conn, handler: handler, clock: thclock.OrSystem(clock), out: newSendQueue(), limit: limit,
 		streams: make(map[uint32]sessionStream), done: make(chan struct{}), ended: make(chan struct{}),
 	}
+	if link.Known() {
+		s.out.link = link
+		limitUnsent(conn)
+	}
 	s.idleSince = s.clock.Now()
 	s.started = s.idleSince
 	s.lastRead.Store(thclock.Stamp(s.idleSince))
