Limit large responses in progress to what the link can send

Load: responses of 90 KB on a link of 10 Mbit/s, 8, 11.8 and 16 a second, beside 26 of 5 KB. The link can send some 12 large ones a second.

Cause: the backend server ran as many calls as it had slots, so that all large responses waited on the link and nearly all were late.

Change: thproxy.Downloads learns the size and the time of responses by route. A call whose route has large responses is admitted before the admission of the backend server: when the link will have sent what is queued and admitted by the time the response is ready and another one is sent. Calls wait by priority and arrival. A call that would have to wait and could not meet its objective (without one, or where it is missed anyway: the deadline) is rejected at once with kind Full, which means that it has not run, and the time until the link has room. Load.Link of responses is set from it.

--- a/thproxy/target.go
+++ b/thproxy/target.go
@@ -77,6 +77,7 @@
 	Headers     *Headers         // nil means the default names
 	ActiveCalls *ActiveCalls     // shared with the Ingress; nil tracks no calls
 	Crashes     *thcrash.Tracker // shared with the Ingress; nil tracks none
+	Downloads   *Downloads       // nil admits large responses without regard to the network link
 	// OnCrash is called when the backend server has crashed; it may be nil.
 	OnCrash func()
 	Clock   clockwork.Clock
@@ -115,7 +116,7 @@
 			t.Log.Warn("call failed at the target", "request", headerValue(o.Header, names.RequestID), "route", o.Route, "method", o.Method,
 				"path", shortTarget(o.Target), "caller", headerValue(o.Header, names.Caller), "instance", o.Instance, "kind", therror.KindOf(err), "error", err)
 		}
-		_ = c.Refuse(toError(err), t.Gate.Load(c.Open().Route))
+		_ = c.Refuse(toError(err), t.load(c.Open().Route))
 	}
 }
 
@@ -151,6 +152,11 @@
 	if err != nil {
 		return err
 	}
+	download, err := t.Downloads.Enter(c.Context(), o)
+	if err != nil {
+		return err
+	}
+	defer download.Done()
 	pass, leave, err := t.admit(c)
 	if err != nil {
 		return err
@@ -170,11 +176,18 @@
 			return err
 		}
 	}
-	trailer, err := t.dispatch(c, r, server, pass, ticket)
+	trailer, err := t.dispatch(c, r, server, pass, ticket, download)
 	if err != nil {
 		return t.checkCrash(c, server, address, err)
 	}
-	return c.End(trailer, t.Gate.Load(o.Route))
+	return c.End(trailer, t.load(o.Route))
+}
+
+// load returns the load that is reported to the ingresses of a route.
+func (t *Target) load(route string) thwire.Load {
+	l := t.Gate.Load(route)
+	l.Link = int64(t.Downloads.LinkTime(route))
+	return l
 }
 
 // admit waits until the call may be sent to the backend server. The caller calls leave at
@@ -213,13 +226,13 @@
 	if err := c.WriteHead(h); err != nil {
 		return err
 	}
-	return c.End(nil, t.Gate.Load(c.Open().Route))
+	return c.End(nil, t.load(c.Open().Route))
 }
 
 // dispatch sends the request to the backend server and relays the response except
 // for its End. It frees the pass first, so that the load in End does not count this
 // call.
-func (t *Target) dispatch(c Call, r *http.Request, server thwire.Server, pass Pass, ticket *thonce.Ticket) (trailer []thwire.Header, err error) {
+func (t *Target) dispatch(c Call, r *http.Request, server thwire.Server, pass Pass, ticket *thonce.Ticket, download *Download) (trailer []thwire.Header, err error) {
 	var observer CallObserver
 	status, latency := 0, time.Duration(0) // until the response header
 	if o := c.Open(); t.OnDispatch != nil {
@@ -263,6 +276,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	download.Sending()
 	status = response.StatusCode
 	if observer != nil {
 		observer.Responded()
@@ -369,8 +383,10 @@
 	}
 	p := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(p)
+	written := int64(0)
 	for {
 		n, err := response.Body.Read(*p)
+		written += int64(n)
 		if n > 0 {
 			if _, err := c.Write((*p)[:n]); err != nil {
 				return toError(err)
@@ -379,6 +395,9 @@
 		switch {
 		case err == nil:
 		case err == io.EOF: // a wrapped io.EOF means a broken connection
+			if response.StatusCode < http.StatusMultipleChoices {
+				t.Downloads.Observe(c.Open().Route, written, latency)
+			}
 			return nil
 		case c.Context().Err() != nil:
 			return contextError(c.Context())
--- a/thwire/flow.go
+++ b/thwire/flow.go
@@ -31,7 +31,7 @@
 
 	// Of the goroutine that writes:
 	urgency urgency // of the next data frame
-	sent    int     // bytes written while the body counts as small
+	sent    int32   // bytes written while the body counts as small
 
 	mutex         sync.Mutex
 	received      bytes.Buffer
@@ -194,7 +194,7 @@
 // nextUrgency returns the urgency of the next data frame, which has n bytes.
 func (f *flow) nextUrgency(n int) urgency {
 	if !f.urgency.isLarge() {
-		if f.sent += n; f.sent > smallBytes {
+		if f.sent += int32(n); f.sent > smallBytes {
 			f.urgency = f.urgency.ofRest()
 		}
 	}
--- a/thwire/lane.go
+++ b/thwire/lane.go
@@ -24,6 +24,9 @@
 	laneCount
 )
 
+// IsLarge reports whether a body of this size is sent after small ones.
+func IsLarge(bytes int64) bool { return bytes > smallBytes }
+
 func (u urgency) isLarge() bool { return u >= largeUrgent }
 
 // ofRest returns the urgency of the rest of a body that turns out to be large.
@@ -47,7 +50,7 @@
 	if isUrgent {
 		u = urgent
 	}
-	if length > smallBytes && o.Method != http.MethodHead {
+	if IsLarge(length) && o.Method != http.MethodHead {
 		return u.ofRest()
 	}
 	return u
--- a/thwire/link.go
+++ b/thwire/link.go
@@ -87,7 +87,7 @@
 	}
 	now := l.now()
 	wait := max(0, time.Duration(l.all.Load()-now))
-	if bytes <= smallBytes {
+	if !IsLarge(bytes) {
 		wait = min(wait, max(0, time.Duration(l.small.Load()-now))+l.Transfer(maxWrite))
 	}
 	return wait + l.Transfer(bytes)
--- a/thwire/send_queue.go
+++ b/thwire/send_queue.go
@@ -45,8 +45,8 @@
 
 // sender is the place of a stream in the send queue. The mutex of the queue guards it.
 type sender struct {
+	position uint64  // in its lane, after the latest frame
 	lane     urgency // of the latest frame
-	position uint64  // in the lane, after the latest frame
 	wanted   urgency // of the frame for which it waits
 	waiting  bool    // it is one of the waiters
 	// room is signalled when the sender ceases to be one of the waiters. It has a buffer of
