Bound the bytes that are held for slow callers

Load: callers that don't read responses of 90 KB, beside callers that do.

Cause: the bytes of responses that callers had not read were bounded only by ending a session, with the calls of other callers. That freed nothing where the responses were complete, as their streams no longer belonged to the session. Sessions with less than 1/64 of the limit were not checked, so that 100 sessions could exceed it by far. The window of 256 KB lets a target send a response of 90 KB without any credit, so that nothing held back the backend server.

Sessions keep a list of ended calls until their callers have finished them. Above half of the limit, further calls ask for a window of 32 KB (Open.Window), so the target stops reading from the backend server earlier; a target that does not know the field sends as before. The session of a faulty peer that opened its streams ends as before.

--- a/thwire/flow.go
+++ b/thwire/flow.go
@@ -12,6 +12,7 @@
 // Flow control parameters of a stream, in bytes.
 const (
 	initialWindow   = 256 << 10 // send window of a new stream, in each direction
+	smallWindow     = 32 << 10  // window of new streams when many bytes are buffered for all
 	creditThreshold = 64 << 10  // bytes consumed before a Credit is sent
 	maxDataFrame    = 32 << 10  // data of a single frame, so that streams interleave
 )
@@ -37,6 +38,8 @@
 	received      bytes.Buffer
 	uncredited    int   // bytes read for which no Credit was sent yet
 	receiveWindow int   // bytes that the peer may still send
+	creditAfter   int   // bytes consumed before a Credit is sent
+	maxWindow     int   // highest send window
 	remoteEnded   bool  // the peer has sent all data
 	failure       error // ends both directions at once
 	sendWindow    int   // bytes that this side may still send
@@ -48,7 +51,7 @@
 
 func (f *flow) init(s *Session, id uint32, t Type) {
 	f.session, f.id, f.dataType = s, id, t
-	f.sendWindow, f.receiveWindow = initialWindow, initialWindow
+	f.sendWindow, f.receiveWindow, f.maxWindow, f.creditAfter = initialWindow, initialWindow, initialWindow, creditThreshold
 	f.readable, f.writable, f.writesDone = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{})
 	// The writer waits for room in the send queue or for credit, but not for both.
 	f.sender.room = f.writable
@@ -74,7 +77,7 @@
 		return therror.New(therror.Frame, "stream %d: data beyond the credit or after the end", f.id)
 	}
 	f.receiveWindow -= len(data)
-	f.session.buffered.Add(int64(len(data)))
+	f.session.addBuffered(len(data))
 	f.received.Write(data)
 	signal(f.readable)
 	return nil
@@ -102,7 +105,7 @@
 	f.mutex.Lock()
 	if f.failure == nil {
 		f.failure = err
-		f.session.buffered.Add(-int64(f.received.Len()))
+		f.session.addBuffered(-f.received.Len())
 		f.received = bytes.Buffer{}
 	}
 	f.endWrites()
@@ -116,7 +119,7 @@
 	if f.failure == nil {
 		f.failure = errFinished
 	}
-	f.session.buffered.Add(-int64(f.received.Len()))
+	f.session.addBuffered(-f.received.Len())
 	f.received = bytes.Buffer{}
 	f.endWrites()
 	f.mutex.Unlock()
@@ -127,7 +130,7 @@
 func (f *flow) addCredit(n uint32) {
 	f.mutex.Lock()
 	// The peer may only credit bytes that were sent; any excess is ignored.
-	f.sendWindow = min(f.sendWindow+int(n), initialWindow)
+	f.sendWindow = min(f.sendWindow+int(n), f.maxWindow)
 	f.mutex.Unlock()
 	signal(f.writable)
 }
@@ -148,10 +151,10 @@
 			return 0, f.failure
 		case f.received.Len() > 0:
 			n, _ := f.received.Read(p)
-			f.session.buffered.Add(-int64(n))
+			f.session.addBuffered(-n)
 			f.uncredited += n
 			credit := 0
-			if f.uncredited >= creditThreshold && !f.remoteEnded {
+			if f.uncredited >= f.creditAfter && !f.remoteEnded {
 				credit, f.uncredited = f.uncredited, 0
 				f.receiveWindow += credit
 			}
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -348,6 +348,9 @@
 	// Suspect is the fingerprint of a request that may have crashed a backend server, empty
 	// for others. The target runs one such request at a time.
 	Suspect string `msg:"u,omitempty"`
+	// Window is the number of bytes of the response that the target may send without a Credit;
+	// zero means the usual window.
+	Window uint32 `msg:"w,omitempty"`
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1936,8 +1936,8 @@
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(22)
-	var zb0001Mask uint32 /* 22 bits */
+	zb0001Len := uint32(23)
+	var zb0001Mask uint32 /* 23 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
@@ -1947,6 +1947,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x200000
 	}
+	if z.Window == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2031,6 +2035,11 @@
 			o = append(o, 0xa1, 0x75)
 			o = msgp.AppendString(o, z.Suspect)
 		}
+		if (zb0001Mask & 0x400000) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint32(o, z.Window)
+		}
 	}
 	return
 }
@@ -2239,6 +2248,12 @@
 				err = msgp.WrapError(err, "Suspect")
 				return
 			}
+		case "w":
+			z.Window, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2257,7 +2272,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect)
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.Uint32Size
 	return
 }
 
--- a/thwire/session.go
+++ b/thwire/session.go
@@ -43,6 +43,7 @@
 
 	mutex           sync.Mutex
 	streams         map[uint32]sessionStream
+	unread          *Stream   // list of ended calls whose response may not have been read
 	handlersRunning int       // handlers, including those of cancelled streams
 	lastID          uint32    // highest stream number opened
 	failure         error     // why the session ended; nil while it is alive
@@ -175,11 +176,17 @@
 
 func (s *Session) remove(id uint32) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delete(id)
+}
+
+// delete is remove for a caller that holds the mutex.
+func (s *Session) delete(id uint32) {
+	before := len(s.streams)
 	delete(s.streams, id)
-	if len(s.streams) == 0 {
+	if before > 0 && len(s.streams) == 0 {
 		s.idleSince = s.clock.Now()
 	}
-	s.mutex.Unlock()
 }
 
 // handlerReturned decrements the number of running handlers.
@@ -379,6 +386,9 @@
 	id := in.open.Stream
 	in.init(s, id, TypeResponseBody)
 	in.arrived = s.lastRead.Load()
+	if w := in.open.Window; w > 0 && w < initialWindow {
+		in.sendWindow, in.maxWindow = int(w), int(w)
+	}
 	// The session may fail as soon as it knows of the call, which cancels the context.
 	in.initContext()
 	s.mutex.Lock()
@@ -465,6 +475,10 @@
 	s.lastID++
 	o.Stream = s.lastID
 	st.init(s, s.lastID, TypeRequestBody)
+	if s.limit.isNear() {
+		// An older peer ignores it, so that more data is no error.
+		o.Window, st.creditAfter = smallWindow, smallWindow/2
+	}
 	s.streams[s.lastID] = st
 	// The frame is queued with the mutex held so that stream numbers increase on the wire.
 	offset, ok, err := s.out.add(control, &st.sender, func(b []byte) ([]byte, error) { return AppendFrame(b, TypeOpen, o) }, false)
--- a/thwire/stream.go
+++ b/thwire/stream.go
@@ -19,6 +19,11 @@
 	head       *Head
 	end        *End
 	load       *Load
+
+	// Guarded by the mutex of the session:
+	previous, next *Stream // in Session.unread
+	linked         bool    // it is in Session.unread
+	released       bool    // it is no longer to be put there
 }
 
 func (s *Stream) base() *flow { return &s.flow }
@@ -66,7 +71,7 @@
 	s.end, s.load, s.remoteEnded = e, &e.Load, true
 	s.endWrites()
 	s.mutex.Unlock()
-	s.session.remove(s.id)
+	s.session.removeEnded(s)
 	signal(s.readable)
 	return nil
 }
@@ -162,9 +167,10 @@
 func (s *Stream) Cancel(k therror.Kind) {
 	if s.finished() {
 		s.discard()
+		s.session.forget(s)
 		return
 	}
-	s.session.remove(s.id)
+	s.session.forget(s)
 	s.fail(therror.New(k, "call cancelled"))
 	_ = s.session.sendFrame(&s.flow, control, TypeCancel, Cancel{Stream: s.id, Kind: string(k)}, false)
 }
