--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -361,6 +361,9 @@
 	// Time is the time that the backend server takes for a call of the same route;
 	// zero if unknown.
 	Time int64 `msg:"t"` // ns
+	// Link is the time until the link of the target daemon would have sent a response of the
+	// same route that is ready now; zero if unknown. See LinkTime.
+	Link int64 `msg:"k,omitempty"` // ns
 }
 
 // Header is one line of an HTTP header.
@@ -402,6 +405,9 @@
 	Rank    int    `msg:"q,omitempty"` // priority of the account, which goes before Priority
 	// Nested means that a backend server makes the call for a request that it runs.
 	Nested bool `msg:"j,omitempty"`
+	// Window is the number of bytes of the response that the target may send without a Credit;
+	// zero means the usual window.
+	Window uint32 `msg:"w,omitempty"`
 }
 
 // Head starts the response on a stream: its status and header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1519,13 +1519,17 @@
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Link == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1554,6 +1558,11 @@
 		// string "t"
 		o = append(o, 0xa1, 0x74)
 		o = msgp.AppendInt64(o, z.Time)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendInt64(o, z.Link)
+		}
 	}
 	return
 }
@@ -1622,6 +1631,12 @@
 				err = msgp.WrapError(err, "Time")
 				return
 			}
+		case "k":
+			z.Link, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Link")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1636,7 +1651,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -1962,8 +1977,8 @@
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(25)
-	var zb0001Mask uint32 /* 25 bits */
+	zb0001Len := uint32(26)
+	var zb0001Mask uint32 /* 26 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
@@ -1985,6 +2000,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000000
 	}
+	if z.Window == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000000
+	}
 	// variable map header, size zb0001Len
 	o = msgp.AppendMapHeader(o, zb0001Len)
 
@@ -2084,6 +2103,11 @@
 			o = append(o, 0xa1, 0x6a)
 			o = msgp.AppendBool(o, z.Nested)
 		}
+		if (zb0001Mask & 0x2000000) == 0 { // if not omitted
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendUint32(o, z.Window)
+		}
 	}
 	return
 }
@@ -2310,6 +2334,12 @@
 				err = msgp.WrapError(err, "Nested")
 				return
 			}
+		case "w":
+			z.Window, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2328,7 +2358,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.IntSize + 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Instance) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.Suspect) + 2 + msgp.StringPrefixSize + len(z.Account) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Uint32Size
 	return
 }
 
