--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -71,6 +71,7 @@
 	ingress          *thproxy.Ingress
 	metrics          *thmetric.Metrics
 	dialer           *thwire.Dialer
+	link             *thwire.Link // network link of this instance
 	listener         *thwire.Listener
 	announcer        *announcer
 	servers          []*http.Server
@@ -192,7 +193,7 @@
 	d.listener = &thwire.Listener{
 		Address: s.Listen.Peer,
 		Control: func(c net.Conn, h thwire.Hello) { d.node.Serve(c, &h) },
-		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target, d.dialer.Buffers) },
+		Call:    func(c net.Conn, _ thwire.Hello) { d.sessions.serve(c, d.target, d.dialer.Buffers, d.link) },
 		Log:     d.Log.Named("wire"),
 	}
 	d.subscribe()
@@ -229,6 +230,7 @@
 
 // buildCalls builds the components on the request path.
 func (d *Daemon) buildCalls() {
+	d.link = &thwire.Link{Speed: d.Settings.Server.Link, Clock: d.Clock}
 	d.dialer = &thwire.Dialer{Clock: d.Clock, Buffers: &thwire.BufferLimit{Bytes: int64(d.Settings.Memory.Limit) / bufferFraction}, Hello: func() thwire.Hello {
 		self := d.node.Member
 		return thwire.Hello{
@@ -236,6 +238,7 @@
 			Name: self.Name, Zone: self.Zone, Region: self.Region,
 		}
 	}}
+	d.dialer.Link = d.link
 	d.transport = &thproxy.DirectTransport{Clock: d.Clock, OnConnectionLimit: func() { d.metrics.CountLimited(limitConnections) }}
 	d.transport.SetMaxConnections(d.Settings.Server.Connections)
 	d.closers = append(d.closers, d.transport.CloseIdle)
@@ -246,7 +249,8 @@
 		OnDispatch: func(route, pool string, cold bool) (thproxy.CallObserver, bool) {
 			return d.mover.BeginServed(route, pool, cold)
 		},
-		OnCrash: d.metrics.CountServerCrash, Clock: d.Clock, Log: d.Log.Named("target"),
+		Downloads: &thproxy.Downloads{Link: d.link, Clock: d.Clock},
+		OnCrash:   d.metrics.CountServerCrash, Clock: d.Clock, Log: d.Log.Named("target"),
 	}
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -23,8 +23,8 @@
 	goingAway bool // goAway was called
 }
 
-func (s *sessions) serve(c net.Conn, t *thproxy.Target, limit *thwire.BufferLimit) {
-	session := thwire.ServeCalls(c, func(i *thwire.Incoming) { t.Serve(i) }, limit)
+func (s *sessions) serve(c net.Conn, t *thproxy.Target, limit *thwire.BufferLimit, link *thwire.Link) {
+	session := thwire.ServeCallsOnLink(c, func(i *thwire.Incoming) { t.Serve(i) }, limit, link)
 	s.mu.Lock()
 	if s.all == nil {
 		s.all = map[*thwire.Session]struct{}{}
