Add settings for bounds on all clients together

Clients saw: nothing yet, the settings have no effect in this commit. Cause: each connection has limits, and their sum has none. Change: section [clients] with `connections` and `bytes`; 0 derives them from the descriptor limit and memory.limit.

--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -15,6 +15,7 @@
 	Peers    PeersSettings    // How a daemon finds the fleet.
 	Server   ServerSettings   // The backend server beside the daemon.
 	Limits   LimitsSettings   // Limits on calls.
+	Clients  ClientsSettings  // Bounds over all connections of callers together, HTTP/1.1 and HTTP/2.
 	Budget   BudgetSettings   // Repeats that the whole fleet may send to a service in any window, with kind rows.
 	Move     MoveSettings     // Limit on the calls that a new version gets from the start of a move to its deadline, until it has passed all load tests.
 	Memory   MemorySettings   // Targets of the garbage collector, unless GOGC and GOMEMLIMIT are set.
@@ -79,6 +80,12 @@
 	Claims int           // Idempotency claims written per second.
 }
 
+// ClientsSettings is section [clients]. Bounds over all connections of callers together, HTTP/1.1 and HTTP/2.
+type ClientsSettings struct {
+	Connections int // Most connections of callers. Beyond it the connection that has held the most for the longest time is closed, unless it has a request at a backend server. 0 means half of the descriptors that the process may have, or fewer if a third of clients.bytes holds fewer idle ones.
+	Bytes       int // Memory that connections of callers may hold together for heads, input read ahead and responses that wait, as estimated from their sizes. 0 means a quarter of memory.limit.
+}
+
 // BudgetSettings is section [budget]. Repeats that the whole fleet may send to a service in any window, with kind rows.
 type BudgetSettings struct {
 	Ratio  float64       // Repeats for each request to the service.
@@ -110,7 +117,7 @@
 	Level string // Lowest level that is logged.
 }
 
-var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "budget", "move", "memory", "stop", "log"}
+var sectionNames = []string{"daemon", "listen", "platform", "peers", "server", "limits", "clients", "budget", "move", "memory", "stop", "log"}
 
 var keys = []key{
 	{section: "daemon", name: "name", defaultValue: "", requiredBy: "daemon", set: func(s *Settings, v string) (err error) { s.Daemon.Name, err = checkDaemonName(v); return err }},
@@ -149,6 +156,11 @@
 	{section: "limits", name: "body", defaultValue: "64KiB", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Body, err = checkLimitsBody(v); return err }},
 	{section: "limits", name: "depth", defaultValue: "10", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Depth, err = checkLimitsDepth(v); return err }},
 	{section: "limits", name: "claims", defaultValue: "20", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Claims, err = checkLimitsClaims(v); return err }},
+	{section: "clients", name: "connections", defaultValue: "0", requiredBy: "", set: func(s *Settings, v string) (err error) {
+		s.Clients.Connections, err = checkClientsConnections(v)
+		return err
+	}},
+	{section: "clients", name: "bytes", defaultValue: "0B", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Clients.Bytes, err = checkClientsBytes(v); return err }},
 	{section: "budget", name: "ratio", defaultValue: "0.2", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Budget.Ratio, err = checkBudgetRatio(v); return err }},
 	{section: "budget", name: "slack", defaultValue: "50", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Budget.Slack, err = checkBudgetSlack(v); return err }},
 	{section: "budget", name: "window", defaultValue: "10s", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Budget.Window, err = checkBudgetWindow(v); return err }},
@@ -236,6 +248,10 @@
 
 func checkLimitsClaims(v string) (int, error) { return parseCount(v, 1, 1000) }
 
+func checkClientsConnections(v string) (int, error) { return parseCount(v, 0, 1000000) }
+
+func checkClientsBytes(v string) (int, error) { return parseBytes(v, "0B", "1023MiB") }
+
 func checkBudgetRatio(v string) (float64, error) { return parseRatio(v, 0, 1) }
 
 func checkBudgetSlack(v string) (float64, error) { return parseRatio(v, 0, 100000) }
@@ -353,6 +369,13 @@
 	"# Idempotency claims written per second. (1 to 1000)\n" +
 	"#claims = 20\n" +
 	"\n" +
+	"# Bounds over all connections of callers together, HTTP/1.1 and HTTP/2.\n" +
+	"[clients]\n" +
+	"# Most connections of callers. Beyond it the connection that has held the most for the longest time is closed, unless it has a request at a backend server. 0 means half of the descriptors that the process may have, or fewer if a third of clients.bytes holds fewer idle ones. (0 to 1000000)\n" +
+	"#connections = 0\n" +
+	"# Memory that connections of callers may hold together for heads, input read ahead and responses that wait, as estimated from their sizes. 0 means a quarter of memory.limit. (0B to 1023MiB)\n" +
+	"#bytes = 0B\n" +
+	"\n" +
 	"# Repeats that the whole fleet may send to a service in any window, with kind rows.\n" +
 	"[budget]\n" +
 	"# Repeats for each request to the service. (0 to 1)\n" +
@@ -472,6 +495,15 @@
 	"| `depth` | count | 1 to 100 | `10` | no | Highest call depth. |\n" +
 	"| `claims` | count | 1 to 1000 | `20` | no | Idempotency claims written per second. |\n" +
 	"\n" +
+	"## [clients]\n" +
+	"\n" +
+	"Bounds over all connections of callers together, HTTP/1.1 and HTTP/2.\n" +
+	"\n" +
+	"| key | type | range | default | required | meaning |\n" +
+	"| --- | --- | --- | --- | --- | --- |\n" +
+	"| `connections` | count | 0 to 1000000 | `0` | no | Most connections of callers. Beyond it the connection that has held the most for the longest time is closed, unless it has a request at a backend server. 0 means half of the descriptors that the process may have, or fewer if a third of clients.bytes holds fewer idle ones. |\n" +
+	"| `bytes` | bytes | 0B to 1023MiB | `0B` | no | Memory that connections of callers may hold together for heads, input read ahead and responses that wait, as estimated from their sizes. 0 means a quarter of memory.limit. |\n" +
+	"\n" +
 	"## [budget]\n" +
 	"\n" +
 	"Repeats that the whole fleet may send to a service in any window, with kind rows.\n" +
