Bound the memory and the number of all client connections together

Clients saw: crowds of clients that each stay within the limits of a single connection take all memory or descriptors of a daemon, and the requests of others end with it. Cause: heads, input read ahead and responses that wait were limited for each connection, and the sum and the number of connections were not. net/http lets an HTTP/2 connection take 1 MB for the start of a frame and queues up to 1,000 requests that were reset. Change: an account for each connection, HTTP/2 included, and Server.Bounds over the sum. At a bound the connection with the most bytes for the longest time is closed, unless a request of it may be at a backend server; without one, a request that has not begun is rejected with 503 and Retry-After. Ruled out: releasing the account of an HTTP/2 request when its handler returns.

--- a/thhttp/body.go
+++ b/thhttp/body.go
@@ -36,7 +36,10 @@
 		b.expectsContinue.Store(false)
 	}
 	n, err := b.source.Read(p)
-	b.bytesRead.Add(int64(n))
+	read := b.bytesRead.Add(int64(n))
+	if kept := min(read, maxKeptBody) - min(read-int64(n), maxKeptBody); kept > 0 {
+		b.response.hold(kept)
+	}
 	if err != nil {
 		b.doneOnce.Do(func() {
 			b.complete.Store(err == io.EOF) // a wrapped io.EOF means that the connection broke
--- a/thhttp/connection.go
+++ b/thhttp/connection.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxReadAhead is the maximum number of bytes buffered while MaxPipelined
-	// requests are in progress. Beyond it, a disconnect is not detected.
+	// maxReadAhead is the maximum number of bytes buffered while MaxPipelined requests are
+	// in progress. Beyond it, or without memory for it, a disconnect is not detected.
 	maxReadAhead = 64 << 10
 	// lingerTimeout is how long input is still read after the sending side was closed,
 	// so that a reset does not destroy the last response in transit.
@@ -48,6 +48,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	account account
+
 	mutex        sync.Mutex
 	queue        []*response   // requests in progress, in the order of arrival
 	readerState  int           // what the reading goroutine waits for
@@ -57,6 +59,7 @@
 	closing      bool          // no further request is accepted
 	broken       bool          // a response was truncated: nothing more may be written
 	hijacked     bool          // the handler or HTTP2 owns the connection
+	passedOn     bool          // HTTP2 owns the connection
 	disconnected bool          // the client disconnected, or the connection broke
 	changed      chan struct{} // closed when the state of a request changes; nil unless a goroutine waits
 	allAnswered  chan struct{} // closed after the last response
@@ -67,7 +70,7 @@
 	if a := n.RemoteAddr(); a != nil {
 		c.remote = a.String()
 	}
-	c.input = connReader{conn: n, headBudget: -1}
+	c.input = connReader{conn: n, account: &c.account, headBudget: -1}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -75,6 +78,7 @@
 // run serves the connection until it ends.
 func (c *connection) run() {
 	defer c.server.remove(c)
+	defer c.release()
 	defer c.cancel()
 	if err := c.readRequests(); err != nil {
 		if !errors.Is(err, io.EOF) && !errors.Is(err, errIdle) && c.server.log().IsDebug() {
@@ -108,6 +112,7 @@
 			return nil
 		}
 		if !c.enqueue(r) {
+			r.release()
 			return c.awaitResponses()
 		}
 		go c.handle(r)
@@ -152,7 +157,7 @@
 			return errIdle
 		}
 		c.readerState = readerAwaitsRequest
-		c.setIdleDeadline()
+		c.setIdleDeadline(c.now())
 		c.mutex.Unlock()
 		if c.hasInput() {
 			return c.startHead()
@@ -208,16 +213,16 @@
 
 // setIdleDeadline sets the deadline for the first byte of the next request; there is
 // none while requests are in progress. The mutex is held.
-func (c *connection) setIdleDeadline() {
+func (c *connection) setIdleDeadline(now time.Time) {
 	deadline := time.Time{}
 	switch {
 	case len(c.queue) > 0:
 	case c.started:
-		deadline = c.now().Add(c.server.currentLimits().IdleTimeout)
+		deadline = now.Add(c.server.currentLimits().IdleTimeout)
 	case c.draining:
-		deadline = c.now().Add(firstRequestTimeout)
+		deadline = now.Add(firstRequestTimeout)
 	default:
-		deadline = c.now().Add(c.server.currentLimits().HeaderTimeout)
+		deadline = now.Add(c.server.currentLimits().HeaderTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
@@ -284,7 +289,7 @@
 		c.readerState = readerAwaitsSlot
 		_ = c.conn.SetReadDeadline(time.Time{})
 		c.mutex.Unlock()
-		err := c.input.readAhead(maxReadAhead)
+		err := c.input.readAhead()
 		c.mutex.Lock()
 		c.readerState = readerBusy
 		c.mutex.Unlock()
@@ -353,6 +358,28 @@
 	}
 }
 
+// evict closes the connection unless one of its requests may be at a backend server.
+func (c *connection) evict() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.account.running.Load() > 0 {
+		return false
+	}
+	c.disconnected = true // Begin fails from here on
+	c.cancel()
+	_ = c.conn.Close()
+	return true
+}
+
+// release ends the accounting of a connection that has ended. One that was passed to HTTP2
+// continues.
+func (c *connection) release() {
+	c.input.release()
+	if !c.passedOn {
+		c.account.leave()
+	}
+}
+
 // drain closes the connection after the next response without a queued request
 // behind it. With now set, an idle connection closes at once, or after
 // firstRequestTimeout if it has had no request yet.
@@ -365,7 +392,7 @@
 	case c.started:
 		_ = c.conn.SetReadDeadline(pastDeadline)
 	default:
-		c.setIdleDeadline()
+		c.setIdleDeadline(c.now())
 	}
 }
 
@@ -376,6 +403,9 @@
 	defer c.mutex.Unlock()
 	c.queue[0] = nil
 	c.queue = c.queue[1:]
+	r.release()
+	now := c.now()
+	c.account.since.Store(thclock.Stamp(now))
 	if r.truncated {
 		c.closing, c.broken = true, true
 		c.cancel()
@@ -385,7 +415,7 @@
 	case c.readerState == readerAwaitsSlot, c.readerState == readerAwaitsRequest && (c.closing || c.draining && len(c.queue) == 0):
 		_ = c.conn.SetReadDeadline(pastDeadline)
 	case c.readerState == readerAwaitsRequest:
-		c.setIdleDeadline()
+		c.setIdleDeadline(now)
 	}
 	c.signalIfAnswered()
 	if len(c.queue) == 0 {
--- a/thhttp/http2.go
+++ b/thhttp/http2.go
@@ -65,27 +65,16 @@
 		return false
 	}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	rest := append(append([]byte(nil), buffered...), c.input.buffered...)
+	h := &http2Conn{Conn: c.conn, account: &c.account, buffered: append(append([]byte(nil), buffered...), c.input.buffered...)}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	c.mutex.Lock()
-	c.hijacked = true
+	c.hijacked, c.passedOn = true, true
 	c.mutex.Unlock()
-	c.server.HTTP2(&replayConn{Conn: c.conn, buffered: rest})
+	c.account.setOwner(h)
+	c.reader.Reset(nil) // the connection stays in memory with its account
+	readers.Put(c.reader)
+	c.reader = nil
+	c.account.add(http2ConnectionCost)
+	c.server.HTTP2(h)
 	return true
 }
-
-// replayConn is a connection that returns bytes read earlier before new ones.
-type replayConn struct {
-	net.Conn
-	buffered []byte
-}
-
-// Read returns the buffered bytes, then those of the connection.
-func (c *replayConn) Read(p []byte) (int, error) {
-	if len(c.buffered) > 0 {
-		n := copy(p, c.buffered)
-		c.buffered = c.buffered[n:]
-		return n, nil
-	}
-	return c.Conn.Read(p)
-}
--- a/thhttp/limits.go
+++ b/thhttp/limits.go
@@ -23,6 +23,8 @@
 	LimitBody          Limit = "body"
 	LimitHeaderTimeout Limit = "header_timeout"
 	LimitIdleTimeout   Limit = "idle_timeout"
+	LimitConnections   Limit = "client_connections" // Bounds.Connections
+	LimitBytes         Limit = "client_bytes"       // Bounds.Bytes
 )
 
 // SetLimits replaces the limits. They apply to requests that begin afterwards, and to the idle
--- a/thhttp/request.go
+++ b/thhttp/request.go
@@ -22,6 +22,7 @@
 	limits := c.server.currentLimits()
 	c.input.headBudget = limits.MaxHeader + emptyLine + readBufferSize
 	defer func() { c.input.headBudget = -1 }()
+	c.input.overloaded = false
 	start := c.input.taken - int64(c.reader.Buffered())
 	f, err := peekFraming(c.reader)
 	if err != nil {
@@ -33,13 +34,17 @@
 		}
 	}
 	request, err := http.ReadRequest(c.reader)
+	if err != nil && c.input.overloaded {
+		err = errOverloaded // the error of the reader may have been replaced
+	}
 	if err != nil && c.input.headBudget == 0 {
 		err = errHeadTooLong // the line that was cut looks malformed
 	}
 	if err != nil {
 		return nil, err
 	}
-	if size := c.input.taken - int64(c.reader.Buffered()) - start - emptyLine; size > int64(limits.MaxHeader) {
+	size := c.input.taken - int64(c.reader.Buffered()) - start
+	if size-emptyLine > int64(limits.MaxHeader) {
 		return nil, errHeadTooLong
 	}
 	if err := validateRequest(request, f); err != nil {
@@ -48,8 +53,25 @@
 	if err := c.limitBody(request, limits.MaxBody); err != nil {
 		return nil, err
 	}
+	held := c.input.endHead()
+	cost := requestCost + headCost(size, request.Header)
+	if !c.account.reserve(cost - held) {
+		c.account.add(-cost)
+		return nil, errOverloaded
+	}
 	request.RemoteAddr = c.remote
-	return c.newResponse(request, f), nil
+	r := c.newResponse(request, f)
+	r.held.Store(cost)
+	return r, nil
+}
+
+// headCost returns the estimated memory of a head of a size.
+func headCost(size int64, h http.Header) int64 {
+	fields := 0
+	for _, v := range h {
+		fields += len(v)
+	}
+	return size + int64(fields*fieldCost)
 }
 
 // emptyLine is the size of the line that ends a head, in bytes.
@@ -86,9 +108,16 @@
 	case errors.Is(err, errHeadTooLong):
 		status = http.StatusRequestHeaderFieldsTooLarge
 		c.server.countLimit(LimitHeader)
+	case errors.Is(err, errOverloaded):
+		status = http.StatusServiceUnavailable
+		c.server.reportBound(LimitBytes, 1)
 	}
+	c.account.add(-c.input.endHead())
 	r := c.newResponse(&http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, framing{complete: true})
 	r.closesConnection = true
+	if status == http.StatusServiceUnavailable {
+		r.header["Retry-After"] = []string{"1"}
+	}
 	if !c.enqueue(r) {
 		return c.awaitResponses()
 	}
--- a/thhttp/response.go
+++ b/thhttp/response.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/turmerichaven/turmerichaven/thclock"
@@ -31,13 +32,6 @@
 
 var errBroken = errors.New("connection broke, or an earlier response on it was truncated")
 
-// How a request may run relative to the others of its connection.
-const (
-	orderUndecided  = iota // Begin was not called yet: later requests wait
-	orderConcurrent        // concurrently with other such requests
-	orderExclusive         // after all earlier requests are answered, and before any later one
-)
-
 // response is a request in progress with its response. It is the http.ResponseWriter
 // passed to the handler.
 type response struct {
@@ -48,6 +42,9 @@
 	closesConnection bool          // the connection closes after the response
 	handlerDone      chan struct{} // closed when the handler has returned
 	order            int           // guarded by the mutex of the connection
+	running          atomic.Bool   // counts in the account as maybe at a backend server
+	held             atomic.Int64  // bytes in the account; negative after release
+	outHeld          int64         // part of held for out
 
 	mutex        sync.Mutex
 	turnStarted  chan struct{} // closed when hasTurn is set; nil unless a goroutine waits
@@ -83,50 +80,6 @@
 	return r
 }
 
-// Begin waits until the request may run. An exclusive one waits until all earlier ones
-// of its connection are answered; others only wait for exclusive and undecided ones.
-// It returns the error of ctx, or errBroken if the connection broke.
-func (r *response) Begin(ctx context.Context, exclusive bool) error {
-	c := r.connection
-	c.mutex.Lock()
-	r.order = orderConcurrent
-	if exclusive {
-		r.order = orderExclusive
-	}
-	c.notifyChange()
-	for {
-		if c.broken || c.disconnected {
-			c.mutex.Unlock()
-			return errBroken
-		}
-		if !c.isBlocked(r, exclusive) {
-			c.mutex.Unlock()
-			return nil
-		}
-		changed := c.waitChannel()
-		c.mutex.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-		c.mutex.Lock()
-	}
-}
-
-// isBlocked reports whether r must wait for an earlier request. The mutex is held.
-func (c *connection) isBlocked(r *response, exclusive bool) bool {
-	for _, q := range c.queue {
-		if q == r {
-			return false
-		}
-		if exclusive || q.order != orderConcurrent {
-			return true
-		}
-	}
-	return false
-}
-
 // Header returns the header of the response, including trailers.
 func (r *response) Header() http.Header { return r.header }
 
@@ -188,7 +141,11 @@
 	r.ensureBuffer()
 	for len(p) > 0 {
 		n := len(p)
-		if !r.hasTurn {
+		switch {
+		case r.hasTurn:
+		case r.connection.account.isFull():
+			n = min(n, writeBufferSize-r.out.Len())
+		default:
 			n = min(n, maxHeldBytes-r.out.Len())
 		}
 		if n <= 0 {
@@ -203,6 +160,7 @@
 			r.out.Write(p[:n])
 		}
 		p = p[n:]
+		r.holdBuffer()
 		if r.hasTurn && r.out.Len() >= writeBufferSize {
 			if err := r.writeBuffered(); err != nil {
 				return err
@@ -245,6 +203,7 @@
 		return
 	}
 	r.headWritten = true
+	r.endRunning()
 	r.setStatus(http.StatusOK)
 	r.ensureBuffer()
 	h, http10 := r.header, r.request.ProtoMinor == 0
@@ -369,6 +328,7 @@
 		return nil, nil, http.ErrHijacked
 	}
 	r.hijacked, c.hijacked, c.closing = true, true, true
+	c.account.running.Add(1) // the handler owns the connection, so it is never evicted
 	return c.conn, bufio.NewReadWriter(bufio.NewReader(c.conn), bufio.NewWriter(c.conn)), nil
 }
 
@@ -400,8 +360,10 @@
 // finish completes the response. In its turn, it is written with the finished ones
 // behind it. A truncated response closes the connection.
 func (r *response) finish(truncated bool) {
+	r.endRunning()
 	r.mutex.Lock()
 	r.completeBody(truncated)
+	r.holdBuffer()
 	r.finished = true
 	hasTurn := r.hasTurn
 	if hasTurn {
@@ -419,17 +381,6 @@
 	}
 }
 
-// releaseOrder unblocks the requests behind r if its handler returned without calling
-// Begin, as after an error.
-func (c *connection) releaseOrder(r *response) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if r.order == orderUndecided {
-		r.order = orderConcurrent
-		c.notifyChange()
-	}
-}
-
 // completeBody appends the rest of the response to out, or marks it as truncated.
 func (r *response) completeBody(truncated bool) {
 	r.truncated = r.truncated || truncated
--- a/thhttp/server.go
+++ b/thhttp/server.go
@@ -44,12 +44,14 @@
 	// knowledge; nil rejects them.
 	HTTP2        func(net.Conn)
 	Limits       Limits      // until SetLimits is called
+	Bounds       Bounds      // on all connections together
 	OnLimit      func(Limit) // called for each request or connection that a limit ends; may be nil
 	MaxPipelined int         // requests of a connection in progress at once; 16 when zero
 	Clock        clockwork.Clock
 	Log          hclog.Logger
 
-	limits atomic.Pointer[Limits] // nil until SetLimits is called
+	limits  atomic.Pointer[Limits] // nil until SetLimits is called
+	clients clientTable
 
 	mutex       sync.Mutex
 	listeners   map[net.Listener]struct{}
@@ -85,7 +87,12 @@
 		}
 		backoff = 0
 		c := newConnection(s, n)
+		if !s.admit(&c.account, c) {
+			_ = n.Close() // nothing was read, so no request has run
+			continue
+		}
 		if !s.add(c) {
+			c.account.leave()
 			_ = n.Close()
 			continue
 		}
