Set the bounds on clients from the settings and limits of the process

Cause: the daemon has to know its memory limit and descriptors. Change: without settings, a quarter of memory.limit for bytes, and half of the descriptors for connections, or as many as a third of the bytes holds idle.

--- a/thdaemon/listen.go
+++ b/thdaemon/listen.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,6 +15,7 @@
 	"github.com/turmerichaven/turmerichaven/thconfig"
 	"github.com/turmerichaven/turmerichaven/therror"
 	"github.com/turmerichaven/turmerichaven/thhttp"
+	"github.com/turmerichaven/turmerichaven/thsettings"
 )
 
 const (
@@ -48,6 +51,7 @@
 	}
 	http2Conns := &thhttp.ConnListener{Address: l.Addr()}
 	d.http2Server = d.newServer(d.ingress)
+	d.ingressServer.ConfigureHTTP2(d.http2Server)
 	d.ingressServer.HTTP2 = http2Conns.Deliver
 	d.serveInBackground(address, func() error { return d.http2Server.Serve(http2Conns) })
 	d.serveInBackground(address, func() error { return d.ingressServer.Serve(l) })
@@ -60,10 +64,48 @@
 	return &thhttp.Server{
 		Handler: d.ingress, Clock: d.Clock, Log: d.Log.Named("http"),
 		Limits:  thhttp.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeader: maxHeaderSize},
+		Bounds:  clientBounds(d.Settings.Clients, d.Settings.Memory.Limit, descriptorLimit()),
 		OnLimit: func(l thhttp.Limit) { d.metrics.CountLimited(string(l)) },
 	}
 }
 
+// Defaults of the bounds on clients, as parts of what the process may have. The rest is for the
+// collector and the descriptors of other daemons, the store and the backend server.
+const (
+	clientMemoryFraction     = 4
+	clientDescriptorFraction = 2
+	// idleClientFraction is the part of the bytes that idle connections may take, so that the
+	// others have room for requests.
+	idleClientFraction = 3
+)
+
+// clientBounds returns the bounds on clients: those of the settings, or without them what
+// follows from the limits of memory and of descriptors. Zero descriptors mean that the limit is
+// unknown.
+func clientBounds(s thsettings.ClientsSettings, memory, descriptors int) thhttp.Bounds {
+	b := thhttp.Bounds{Connections: s.Connections, Bytes: int64(s.Bytes)}
+	if b.Bytes == 0 {
+		b.Bytes = int64(memory) / clientMemoryFraction
+	}
+	if b.Connections > 0 {
+		return b
+	}
+	b.Connections = max(int(b.Bytes/thhttp.ConnectionCost/idleClientFraction), 1)
+	if descriptors > 0 {
+		b.Connections = max(min(b.Connections, descriptors/clientDescriptorFraction), 1)
+	}
+	return b
+}
+
+// descriptorLimit returns how many descriptors the process may have, zero if that is unknown.
+func descriptorLimit() int {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(l.Cur)
+}
+
 // limitConnections names the limit of connections to the backend server in the metrics.
 const limitConnections = "connections"
 
