Send calls to other zones by expected time with limits.zones = auto

Load: zones with too few servers, demand that swings by 55%, lost zones, zones whose servers slow down, fleets above their capacity.

Cause: the fixed rule looks at slots in use only. It sends calls away that would be answered in time, moves calls between zones that are all loaded, and keeps calls at slow servers whose slots aren't full.

Change: with the new setting limits.zones = auto, each daemon keeps a share of calls for each other zone of its region. The default, fixed, is unchanged.

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -4,6 +4,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,15 +53,20 @@
 	// SpillThreshold is the fraction of a server's limit in use from which calls may
 	// also use other zones; zero means defaultSpillThreshold.
 	SpillThreshold float64
+	// AutoZones replaces SpillThreshold by a share of calls that leaves the zone while the
+	// expected time to an answer is too long here and shorter there by ZoneCost.
+	AutoZones bool
+	ZoneCost  time.Duration
 
 	view        atomic.Pointer[view]
 	randomMutex sync.Mutex // guards Random
 
 	routeTimes sync.Map // route to *atomic.Int64: average service time in ns
 
-	updateMutex sync.Mutex          // guards the fields below
-	states      map[string]*state   // by member name
-	zoneRamps   map[string]zoneRamp // by zone
+	updateMutex sync.Mutex           // guards the fields below
+	states      map[string]*state    // by member name
+	zoneRamps   map[string]zoneRamp  // by zone
+	zoneRules   map[string]*zoneRule // by pool; only with AutoZones
 }
 
 // zoneRamp is the ramp of a zone. Its start is measured by the local clock:
@@ -75,6 +81,8 @@
 	pools   map[string]*pool
 	states  map[string]*state
 	servers []*Server
+	// objectives holds the latency objectives by route; only with AutoZones.
+	objectives map[string]time.Duration
 }
 
 // pool holds its candidates ordered by tier: local zone, local region, other regions.
@@ -83,6 +91,8 @@
 	name       string
 	servers    []*Server
 	tierEnds   [3]int
+	rule       *zoneRule  // nil while the fixed rule is in effect
+	zones      []poolZone // of the local region, the local zone first; only with a rule
 	floor      int        // minimum percentage of servers that stay in use
 	ejectMutex sync.Mutex // serialises ejections, so that concurrent ones respect the floor
 }
@@ -117,6 +127,12 @@
 		v.pools[p.Name] = next
 		v.servers = append(v.servers, next.servers...)
 	}
+	if b.AutoZones {
+		v.objectives = make(map[string]time.Duration, len(tables.Routes))
+		for i := range tables.Routes {
+			v.objectives[tables.Routes[i].Name] = tables.Routes[i].Target
+		}
+	}
 	b.view.Store(v)
 }
 
@@ -198,6 +214,10 @@
 			alive++
 		}
 	}
+	if b.AutoZones {
+		members = slices.Clone(members)
+		slices.SortStableFunc(members, func(a, o *thwire.Member) int { return strings.Compare(a.Zone, o.Zone) })
+	}
 	useSuspects := alive == 0 || alive*100 < p.Floor*len(members)
 	n := &pool{name: p.Name, floor: p.Floor}
 	for t := range n.tierEnds {
@@ -215,6 +235,7 @@
 		}
 		n.tierEnds[t] = len(n.servers)
 	}
+	n.addZones(b.ruleFor(p.Name))
 	return n
 }
 
@@ -255,6 +276,11 @@
 		return nil, therror.New(therror.Unready, "pool %q has no backend server", name).WithRetryAfter(emptyPoolRetryAfter)
 	}
 	p, now := v.pools[name], thclock.OrSystem(b.Clock).Now()
+	if p.rule != nil {
+		if s := b.chooseZone(p, exclude, now, thclock.Stamp(now)); s != nil {
+			return s, nil
+		}
+	}
 	for t, n := range p.tierEnds {
 		if n == 0 || (t > 0 && n == p.tierEnds[t-1]) {
 			continue
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -109,6 +109,7 @@
 	pool           *pool
 	distanceFactor float64   // multiplies the score; 1 in the local zone
 	rampStart      time.Time // start of the zone's ramp; zero without a ramp
+	flow           *zoneFlow // state of the zone in the pool; nil while the fixed rule is in effect
 }
 
 // Result is the outcome of one call as observed by the ingress.
@@ -140,6 +141,9 @@
 		s.loadTime.Store(thclock.Stamp(now))
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
+	if s.flow != nil {
+		s.flow.observe(&r, s.balancer.view.Load().objective(r.Route))
+	}
 	switch r.Kind {
 	case "":
 		if r.Status >= http.StatusInternalServerError {
--- a/thsettings/settings.go
+++ b/thsettings/settings.go
@@ -105,6 +105,12 @@
 	KindRows   = "rows"   // store of rows that operators write to
 )
 
+// The values of limits.zones.
+const (
+	ZonesFixed = "fixed" // limits.spill
+	ZonesAuto  = "auto"  // expected time to an answer and limits.cost
+)
+
 const sectionPlatform = "platform"
 
 // checkRequired reports keys that the role requires and the file omits. With kind
