Compare servers by the expected time to an answer with limits.choice = time

Load: 35 servers with speeds of 0.5 to 1.6 and slowdowns of 2.5 for fractions of a second, daemons that hear of a server 0.4 to 12 times a second.

Cause: the comparison by load uses a slow server as soon as a fast one has some calls more, although a free slot of the fast one gives the earlier answer.

Change: with the new setting limits.choice = time, the load weighs fully from 0.9 of the limit on and by 0.3 of that below, the speed is a longer average without differences below 0.15, and a third random server replaces the better one of the pair if it is clearly faster and not loaded. The default, load, is unchanged.

--- a/thbalance/balancer.go
+++ b/thbalance/balancer.go
@@ -57,6 +57,9 @@
 	// expected time to an answer is too long here and shorter there by ZoneCost.
 	AutoZones bool
 	ZoneCost  time.Duration
+	// ByTime compares servers by the expected time to an answer, to which their speed
+	// contributes more than in the comparison by load.
+	ByTime bool
 
 	view        atomic.Pointer[view]
 	randomMutex sync.Mutex // guards Random
@@ -356,10 +359,13 @@
 		return nil
 	}
 	second := b.draw(servers, exclude, now, last)
-	if second == nil || first.score(now) <= second.score(now) {
-		return first
+	if second != nil && first.score(now) > second.score(now) {
+		first = second
 	}
-	return second
+	if b.ByTime {
+		return b.drawFaster(first, servers, exclude, now, last)
+	}
+	return first
 }
 
 // draw returns a random usable candidate, accepted with the probability of its
--- a/thbalance/model_test.go
+++ b/thbalance/model_test.go
@@ -50,6 +50,7 @@
 	queue   []*modelCall
 	average float64       // moving average of the service time, ns
 	busy    time.Duration // sum of the service times
+	coming  int           // calls that the oracle has sent and that haven't arrived
 }
 
 type modelDaemon struct {
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -69,6 +69,7 @@
 	ejectedUntil  atomic.Int64
 	ejections     atomic.Int64 // consecutive ejections
 	relativeTime  atomic.Int64 // service time relative to all servers' average, in 1/relativeTimeUnit; zero if unknown
+	speed         atomic.Int64 // long average of relativeTime; zero if unknown; only with ByTime
 	errors        atomic.Int64 // consecutive server errors
 	errorRate     atomic.Int64 // moving average, in 1/errorRateUnit
 	errorRateTime atomic.Int64 // time of the last sample of errorRate
@@ -335,6 +336,9 @@
 // The new call is included, so that an idle server with few slots isn't equal to an
 // idle server with many.
 func (s *Server) score(now time.Time) float64 {
+	if s.balancer.ByTime {
+		return s.timeScore(now)
+	}
 	load := float64(s.inflight.Load()+s.advertisedLoad(thclock.Stamp(now))+1) / float64(s.capacity())
 	if r := s.relativeTime.Load(); r > 0 {
 		return s.distanceFactor * (baseScore + load) * float64(r) / relativeTimeUnit
@@ -351,6 +355,9 @@
 	}
 	mean := s.balancer.updateRouteTime(route, d)
 	relative := min(max(int64(d)*relativeTimeUnit/mean, relativeTimeUnit/maxRelativeTime), relativeTimeUnit*maxRelativeTime)
+	if s.balancer.ByTime {
+		s.updateSpeed(relative)
+	}
 	if old := s.relativeTime.Load(); old > 0 {
 		relative = old + (relative-old)/relativeTimeSmoothing
 	}
--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -174,7 +174,7 @@
 		Membership: membership{d.node}, Exposure: thmove.ExposureLimit{Share: s.Move.Exposure, Slack: s.Move.Slack},
 		Clock: d.Clock, Log: d.Log.Named("move"),
 	}
-	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance"), SpillThreshold: s.Limits.Spill, AutoZones: s.Limits.Zones == thsettings.ZonesAuto, ZoneCost: s.Limits.Cost}
+	d.balancer = &thbalance.Balancer{Self: self, Clock: d.Clock, Log: d.Log.Named("balance"), SpillThreshold: s.Limits.Spill, AutoZones: s.Limits.Zones == thsettings.ZonesAuto, ZoneCost: s.Limits.Cost, ByTime: s.Limits.Choice == thsettings.ChoiceTime}
 	d.announcer = &announcer{
 		store: d.platform.Store, spread: s.Peers.Spread, singleStart: s.Platform.Kind == thsettings.KindRows && s.Daemon.Bootstrap != "true",
 		node: d.node, clock: d.Clock, log: d.Log.Named("announce"), renew: make(chan struct{}, 1),
--- a/thsettings/settings.go
+++ b/thsettings/settings.go
@@ -105,6 +105,12 @@
 	KindRows   = "rows"   // store of rows that operators write to
 )
 
+// The values of limits.choice.
+const (
+	ChoiceLoad = "load" // slots in use
+	ChoiceTime = "time" // expected time to an answer
+)
+
 // The values of limits.zones.
 const (
 	ZonesFixed = "fixed" // limits.spill
--- a/thsettings/settings_gen.go
+++ b/thsettings/settings_gen.go
@@ -74,6 +74,7 @@
 type LimitsSettings struct {
 	Wait   time.Duration // Longest time that a call waits in the admission queue.
 	Spill  float64       // Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere.
+	Choice string        // How backend servers are compared. load: by slots in use, weighted with their speed. time: by the expected time to an answer, which prefers faster servers until calls would wait there.
 	Zones  string        // When calls go to other zones. fixed: from the part of the slots in use that spill states. auto: while the expected time to an answer is too long for the latency objective here and shorter there; spill has no effect then.
 	Cost   time.Duration // With zones = auto: by how much sooner an answer must be expected from another zone for calls to go there. A higher one saves bytes between zones.
 	Body   int           // Largest request body that is buffered for a retry.
@@ -148,6 +149,7 @@
 	{section: "server", name: "slots", defaultValue: "1000", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Server.Slots, err = checkServerSlots(v); return err }},
 	{section: "limits", name: "wait", defaultValue: "50ms", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Wait, err = checkLimitsWait(v); return err }},
 	{section: "limits", name: "spill", defaultValue: "0.6", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Spill, err = checkLimitsSpill(v); return err }},
+	{section: "limits", name: "choice", defaultValue: "load", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Choice, err = checkLimitsChoice(v); return err }},
 	{section: "limits", name: "zones", defaultValue: "fixed", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Zones, err = checkLimitsZones(v); return err }},
 	{section: "limits", name: "cost", defaultValue: "20ms", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Cost, err = checkLimitsCost(v); return err }},
 	{section: "limits", name: "body", defaultValue: "64KiB", requiredBy: "", set: func(s *Settings, v string) (err error) { s.Limits.Body, err = checkLimitsBody(v); return err }},
@@ -234,6 +236,8 @@
 
 func checkLimitsSpill(v string) (float64, error) { return parseRatio(v, 0, 1) }
 
+func checkLimitsChoice(v string) (string, error) { return parseChoice(v, "load,time") }
+
 func checkLimitsZones(v string) (string, error) { return parseChoice(v, "fixed,auto") }
 
 func checkLimitsCost(v string) (time.Duration, error) {
@@ -356,6 +360,8 @@
 	"#wait = 50ms\n" +
 	"# Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere. (0 to 1)\n" +
 	"#spill = 0.6\n" +
+	"# How backend servers are compared. load: by slots in use, weighted with their speed. time: by the expected time to an answer, which prefers faster servers until calls would wait there. (load, time)\n" +
+	"#choice = load\n" +
 	"# When calls go to other zones. fixed: from the part of the slots in use that spill states. auto: while the expected time to an answer is too long for the latency objective here and shorter there; spill has no effect then. (fixed, auto)\n" +
 	"#zones = fixed\n" +
 	"# With zones = auto: by how much sooner an answer must be expected from another zone for calls to go there. A higher one saves bytes between zones. (0s to 10s)\n" +
@@ -482,6 +488,7 @@
 	"| --- | --- | --- | --- | --- | --- |\n" +
 	"| `wait` | duration | 0s to 10s | `50ms` | no | Longest time that a call waits in the admission queue. |\n" +
 	"| `spill` | ratio | 0 to 1 | `0.6` | no | Part of a backend server's slots in use from which on calls go to other zones too. A higher one saves bytes between zones, and lets full servers refuse more calls, which are then sent elsewhere. |\n" +
+	"| `choice` | choice | load, time | `load` | no | How backend servers are compared. load: by slots in use, weighted with their speed. time: by the expected time to an answer, which prefers faster servers until calls would wait there. |\n" +
 	"| `zones` | choice | fixed, auto | `fixed` | no | When calls go to other zones. fixed: from the part of the slots in use that spill states. auto: while the expected time to an answer is too long for the latency objective here and shorter there; spill has no effect then. |\n" +
 	"| `cost` | duration | 0s to 10s | `20ms` | no | With zones = auto: by how much sooner an answer must be expected from another zone for calls to go there. A higher one saves bytes between zones. |\n" +
 	"| `body` | bytes | 0B to 16MiB | `64KiB` | no | Largest request body that is buffered for a retry. |\n" +
