Use the slowdown that servers state in the selection by time

Load: servers that slow down by 2.5 for fractions of a second and say so in the fourth figure of their load header.

Cause: the averages of the service time show such a slowdown after two or three responses, when it has ended.

Change: thadmit.Scheduler.SetSlowdown adopts the figure, Load.Slow carries it to the other daemons, and with limits.choice = time the server's time is multiplied by it for 300 ms. Nothing calls SetSlowdown yet: OnLoadReport is set where the daemon is built. Without that, Load.Slow is zero and omitted.

--- a/thadmit/scheduler.go
+++ b/thadmit/scheduler.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -73,6 +74,7 @@
 	queue            []*queuedCall            // see queuedCall.compare for the order
 	serviceTimes     map[string]time.Duration // moving average by route
 	averageTime      time.Duration            // moving average of all calls; zero before the first
+	slowdown         atomic.Int64             // last reported by the server, in percent; see SetSlowdown
 	wakeTimer        clockwork.Timer          // admits queued calls when pacing allows; nil if not set
 }
 
@@ -455,6 +457,6 @@
 	now := thclock.OrSystem(s.Clock).Now()
 	return thwire.Load{
 		Limit: s.concurrency(), Rate: s.stated.rate, Active: s.active, Queued: len(s.queue), Cold: s.isCold(now),
-		Wait: int64(s.estimateWait(len(s.queue), now)), Time: int64(s.serviceTimes[route]),
+		Wait: int64(s.estimateWait(len(s.queue), now)), Time: int64(s.serviceTimes[route]), Slow: s.statedSlowdown(),
 	}
 }
--- a/thbalance/model_test.go
+++ b/thbalance/model_test.go
@@ -24,6 +24,7 @@
 	trip      time.Duration                               // one-way delay between zones
 	rate      func(zone string, at time.Duration) float64 // requests per second
 	servers   []*modelServer
+	stateSlow bool // servers state slowdowns
 	byName    map[string]*modelServer
 	daemons   []*modelDaemon
 
@@ -249,9 +250,13 @@
 }
 
 func (s *modelServer) load(m *model) thwire.Load {
+	slow := 0
+	if m.stateSlow && s.slow != nil && s.slow(m.now()) > 1 {
+		slow = int(100 * s.slow(m.now()))
+	}
 	return thwire.Load{
 		Limit: s.member.Server.Slots, Active: s.active, Queued: len(s.queue),
-		Wait: int64(s.wait(m)), Time: int64(s.serviceTime(m)),
+		Wait: int64(s.wait(m)), Time: int64(s.serviceTime(m)), Slow: slow,
 	}
 }
 
--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -70,6 +70,7 @@
 	ejections     atomic.Int64 // consecutive ejections
 	relativeTime  atomic.Int64 // service time relative to all servers' average, in 1/relativeTimeUnit; zero if unknown
 	speed         atomic.Int64 // long average of relativeTime; zero if unknown; only with ByTime
+	slowdown      atomic.Int64 // last advertised, in percent; zero if none
 	errors        atomic.Int64 // consecutive server errors
 	errorRate     atomic.Int64 // moving average, in 1/errorRateUnit
 	errorRateTime atomic.Int64 // time of the last sample of errorRate
@@ -139,6 +140,7 @@
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
 		s.rate.Store(math.Float64bits(r.Load.Rate))
+		s.slowdown.Store(int64(r.Load.Slow))
 		s.loadTime.Store(thclock.Stamp(now))
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
--- a/thbalance/speed.go
+++ b/thbalance/speed.go
@@ -18,6 +18,9 @@
 	// slowRatio is the ratio of the short to the long average from which the server counts as slow
 	// at the moment; it is above the error of the short average.
 	slowRatio = 1.5
+	// maxSlowdownAge is the validity of a slowdown that a server states; slowdowns last for fractions
+	// of a second.
+	maxSlowdownAge = 300 * time.Millisecond
 	// waitLoad is the load, as a fraction of the limit, from which calls are expected to wait. Above
 	// it the expected time grows with the load; below it by idleSlope of that only, since a call that
 	// finds a free slot takes as long at a loaded server. The slope is not zero: the known load dates
@@ -45,6 +48,9 @@
 	if long == 0 {
 		return 1
 	}
+	if n := float64(s.slowdown.Load()); n > 100*slowRatio && at-s.loadTime.Load() <= int64(maxSlowdownAge) {
+		return long / relativeTimeUnit * n / 100
+	}
 	if short := float64(s.relativeTime.Load()); short > slowRatio*long && at-s.loadTime.Load() <= int64(maxLoadAge) {
 		return short / relativeTimeUnit
 	}
--- a/thbalance/speed_test.go
+++ b/thbalance/speed_test.go
@@ -20,6 +20,7 @@
 	equal          bool    // all servers have speed 1
 	slow           float64 // part of the time in which a server is slow
 	period         float64 // mean duration of a slowdown, seconds
+	stated         bool    // servers state slowdowns
 }
 
 func (l speedLoad) String() string {
@@ -59,7 +60,7 @@
 	const end = 20 * time.Second
 	m := newModel(seed, l.slots, map[string]int{"aa": 35}, func(b *Balancer) { b.ByTime = byTime })
 	m.daemons = m.daemons[:l.daemons]
-	m.from = 5 * time.Second
+	m.from, m.stateSlow = 5*time.Second, l.stated
 	total := 0.0
 	for i, s := range m.servers {
 		if !l.equal {
@@ -172,6 +173,32 @@
 	}
 }
 
+// Servers state their slowdowns, which last for fractions of a second. Guards against a slowdown that
+// isn't used while it is known, and against herding to and from the servers that state one.
+func TestStatedSlowdownIsUsed(t *testing.T) {
+	seeds := uint64(1)
+	if testing.Verbose() {
+		seeds = 3
+	}
+	for _, daemons := range []int{35, 6} {
+		for _, utilisation := range []float64{0.4, 0.6, 0.8, 0.95} {
+			l := speedLoad{daemons: daemons, slots: 13, utilisation: utilisation, slow: 0.1, period: 0.3}
+			t.Run(l.String(), func(t *testing.T) {
+				unknown := l.mean(seeds, true, nil)
+				l.stated = true
+				stated := l.mean(seeds, true, nil)
+				t.Logf("%s\nunknown: %s\nstated:  %s", l, unknown, stated)
+				limit := 1.03 // noise of one seed
+				if daemons < 10 {
+					limit = 0.97
+				}
+				assert.Assert(t, float64(stated.p99) < limit*float64(unknown.p99))
+				assert.Assert(t, stated.rejected < unknown.rejected+0.001 && stated.late < unknown.late+0.002)
+			})
+		}
+	}
+}
+
 // Guards against a choice that follows small differences of speed or goes to a loaded server, and
 // against allocation.
 func TestFasterServerIsPreferred(t *testing.T) {
@@ -203,6 +230,12 @@
 	assert.Equal(t, y.serviceRatio(at), 4.0)
 	clock.Advance(maxLoadAge + time.Millisecond)
 	assert.Equal(t, y.serviceRatio(thclock.Stamp(clock.Now())), 1.0, "the slowdown was seen too long ago")
+	y.loadTime.Store(thclock.Stamp(clock.Now()))
+	y.slowdown.Store(250)
+	assert.Equal(t, y.serviceRatio(thclock.Stamp(clock.Now())), 2.5)
+	y.relativeTime.Store(relativeTimeUnit)
+	clock.Advance(maxSlowdownAge + time.Millisecond)
+	assert.Equal(t, y.serviceRatio(thclock.Stamp(clock.Now())), 1.0, "the slowdown was stated too long ago")
 	r := Result{Status: 200, HasLoad: true, Load: thwire.Load{Limit: 20, Active: 3, Time: 1e6}, Route: "r"}
 	assert.Equal(t, testing.AllocsPerRun(1000, func() {
 		s, _ := b.Choose("p", nil)
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -309,6 +309,9 @@
 	// Time is the time that the backend server takes for a call of the same route;
 	// zero if unknown.
 	Time int64 `msg:"t"` // ns
+	// Slow is the time that work takes at the backend server at the moment, in percent of the
+	// usual time; zero if it takes the usual time or the server doesn't state it.
+	Slow int `msg:"s,omitempty"`
 }
 
 // Header is one line of an HTTP header.
--- a/thwire/schema_gen.go
+++ b/thwire/schema_gen.go
@@ -1478,13 +1478,17 @@
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Rate == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Slow == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1513,6 +1517,11 @@
 		// string "t"
 		o = append(o, 0xa1, 0x74)
 		o = msgp.AppendInt64(o, z.Time)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendInt(o, z.Slow)
+		}
 	}
 	return
 }
@@ -1581,6 +1590,12 @@
 				err = msgp.WrapError(err, "Time")
 				return
 			}
+		case "s":
+			z.Slow, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slow")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1595,7 +1610,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
 
