Let returning zones ramp up as slowly with limits.zones = auto

Load: a zone that an operator returns to service.

Cause: a call whose draw in the local zone was rejected by the ramp went on to the fixed rule, which drew from the local zone again: after a quarter of the ramp, 64% of the calls stayed instead of 51% with the fixed rule.

Change: such a call draws from all servers of the region. TestReturningZoneRampsUp failed before.

--- a/thbalance/zones.go
+++ b/thbalance/zones.go
@@ -191,7 +191,8 @@
 		}
 	}
 	if !p.rule.stay.Load() {
-		return nil
+		// Not Choose's order of tiers, which would give servers that ramp up a second chance.
+		return b.drawPair(p.servers[:p.tierEnds[1]], exclude, now, p.tierEnds[1] == len(p.servers))
 	}
 	if s := b.scanAll(p.servers[:p.zones[0].end], exclude, now); s.class(exclude, now) <= classAvoided {
 		return s
--- a/thbalance/zones_test.go
+++ b/thbalance/zones_test.go
@@ -261,6 +261,24 @@
 	assert.Assert(t, got["ab"] > 0 && len(got) == 1, "no server in the local zone: %v", got)
 }
 
+// Guards against a zone that has just returned to service and gets its calls faster than with the
+// fixed rule.
+func TestReturningZoneRampsUp(t *testing.T) {
+	share := map[bool]float64{}
+	for _, auto := range []bool{false, true} {
+		b, c := balancer("aa")
+		b.AutoZones = auto
+		members := []thwire.Member{member("x", "aa"), member("y", "ab")}
+		b.Update(tables(thconfig.Zone{Name: "aa", Out: true, Changed: c.Now()}), members)
+		back := tables(thconfig.Zone{Name: "aa", Changed: c.Now()})
+		b.Update(back, members)
+		c.Advance(rampDuration / 4)
+		b.Update(back, members)
+		share[auto] = spread(t, b, 4000)["aa"]
+	}
+	assert.Assert(t, share[true] > 0.1 && share[true] < share[false]+0.05, "%v", share)
+}
+
 // Guards against allocation in Choose and Done with the rule.
 func TestZoneRuleDoesNotAllocate(t *testing.T) {
 	b := &Balancer{Self: member("self", "aa")}
