--- a/thbalance/server.go
+++ b/thbalance/server.go
@@ -69,6 +69,8 @@
 	ejectedUntil  atomic.Int64
 	ejections     atomic.Int64 // consecutive ejections
 	relativeTime  atomic.Int64 // service time relative to all servers' average, in 1/relativeTimeUnit; zero if unknown
+	speed         atomic.Int64 // long average of relativeTime; zero if unknown; only with ByTime
+	slowdown      atomic.Int64 // last advertised, in percent; zero if none
 	errors        atomic.Int64 // consecutive server errors
 	errorRate     atomic.Int64 // moving average, in 1/errorRateUnit
 	errorRateTime atomic.Int64 // time of the last sample of errorRate
@@ -109,6 +111,7 @@
 	pool           *pool
 	distanceFactor float64   // multiplies the score; 1 in the local zone
 	rampStart      time.Time // start of the zone's ramp; zero without a ramp
+	flow           *zoneFlow // state of the zone in the pool; nil while the fixed rule is in effect
 }
 
 // Result is the outcome of one call as observed by the ingress.
@@ -137,9 +140,13 @@
 		s.queued.Store(int64(r.Load.Queued))
 		s.cold.Store(r.Load.Cold)
 		s.rate.Store(math.Float64bits(r.Load.Rate))
+		s.slowdown.Store(int64(r.Load.Slow))
 		s.loadTime.Store(thclock.Stamp(now))
 		s.updateRelativeTime(r.Route, time.Duration(r.Load.Time))
 	}
+	if s.flow != nil {
+		s.flow.observe(&r, s.balancer.view.Load().objective(r.Route))
+	}
 	switch r.Kind {
 	case "":
 		if r.Status >= http.StatusInternalServerError {
@@ -331,6 +338,9 @@
 // The new call is included, so that an idle server with few slots isn't equal to an
 // idle server with many.
 func (s *Server) score(now time.Time) float64 {
+	if s.balancer.ByTime {
+		return s.timeScore(now)
+	}
 	load := float64(s.inflight.Load()+s.advertisedLoad(thclock.Stamp(now))+1) / float64(s.capacity())
 	if r := s.relativeTime.Load(); r > 0 {
 		return s.distanceFactor * (baseScore + load) * float64(r) / relativeTimeUnit
@@ -347,6 +357,9 @@
 	}
 	mean := s.balancer.updateRouteTime(route, d)
 	relative := min(max(int64(d)*relativeTimeUnit/mean, relativeTimeUnit/maxRelativeTime), relativeTimeUnit*maxRelativeTime)
+	if s.balancer.ByTime {
+		s.updateSpeed(relative)
+	}
 	if old := s.relativeTime.Load(); old > 0 {
 		relative = old + (relative-old)/relativeTimeSmoothing
 	}
--- a/thwire/schema.go
+++ b/thwire/schema.go
@@ -364,6 +364,9 @@
 	// Link is the time until the link of the target daemon would have sent a response of the
 	// same route that is ready now; zero if unknown. See LinkTime.
 	Link int64 `msg:"k,omitempty"` // ns
+	// Slow is the time that work takes at the backend server at the moment, in percent of the
+	// usual time; zero if it takes the usual time or the server doesn't state it.
+	Slow int `msg:"s,omitempty"`
 }
 
 // Header is one line of an HTTP header.
