Send large responses that can be in time before late ones

Cause: calls of clients who had been rejected and returned late waited in the same order as new ones, so that the link was filled with responses that were late already. Besides, responses of the ingress to its callers take the same link and were not counted.

Change: within a priority, calls that can still meet their objective go first, and bytes to callers count on the link.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -255,7 +255,7 @@
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
-		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft,
+		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft, Link: d.link,
 	}
 	d.ingressServer = d.newIngressServer()
 	d.crashStore = &crashStore{Daemon: d, waiting: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
--- a/thdaemon/rows.go
+++ b/thdaemon/rows.go
@@ -60,6 +60,7 @@
 	local := &localServer{Daemon: d, registry: registry, scheduler: scheduler, departures: departures}
 	registry.Watch(local.update)
 	d.target.OnReport = local.handleReport
+	d.target.OnLoadReport = func(r thproxy.LoadReport) { scheduler.SetSlowdown(r.Slowdown) }
 	d.node.Handle(thwire.TypeDeparture, departures.handleMessage)
 	d.node.Handle(thwire.TypeServerLimit, local.handleNeighbourLimit)
 	d.node.Greeting = d.greeting
--- a/thproxy/downloads.go
+++ b/thproxy/downloads.go
@@ -33,7 +33,7 @@
 	mutex     sync.Mutex
 	routes    map[string]*routeResponses
 	committed int64       // bytes of admitted responses that are not ready
-	queue     []*Download // by priority, then in the order of their arrival
+	queue     []*Download // see Download.goesBefore, then in the order of their arrival
 	timer     clockwork.Timer
 }
 
@@ -47,6 +47,7 @@
 type Download struct {
 	downloads *Downloads
 	priority  int
+	late      bool // the response will miss its objective
 	bytes     int64
 	work      time.Duration // expected time until the response header
 	due       time.Time     // by which the response should be sent; zero without a limit
@@ -100,8 +101,13 @@
 	// less than another one that takes its place on the link.
 	if goal := now.Add(time.Duration(o.Goal)); o.Goal > 0 && !o.Late && !d.sentAt(x, now, 0).After(goal) {
 		x.due = goal
+	} else {
+		x.late = o.Late || o.Goal > 0
+	}
+	place := slices.IndexFunc(d.queue, x.goesBefore)
+	if place < 0 {
+		place = len(d.queue)
 	}
-	place, _ := slices.BinarySearchFunc(d.queue, x.priority+1, func(q *Download, p int) int { return q.priority - p })
 	before := d.committed
 	for _, q := range d.queue[:place] {
 		before += q.bytes
@@ -118,6 +124,16 @@
 	return x, nil
 }
 
+// goesBefore orders calls by priority. Within a priority, those that can still meet their
+// objective go before late ones: a busy link would otherwise send responses that are late already
+// in place of new ones, which would all become late in turn.
+func (x *Download) goesBefore(q *Download) bool {
+	if x.priority != q.priority {
+		return x.priority < q.priority
+	}
+	return !x.late && q.late
+}
+
 func busyError(wait time.Duration) error {
 	return therror.New(therror.Full, "the network link is busy with other large responses").WithRetryAfter(max(wait, 0))
 }
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -134,8 +134,10 @@
 	TimeLeft func() (time.Duration, bool)
 	// OnLeaving is called with the member whose backend server states in a response that it
 	// is leaving; it may be nil.
-	OnLeaving    func(m *thwire.Member)
-	Metrics      Metrics                 // nil disables metrics
+	OnLeaving func(m *thwire.Member)
+	Metrics   Metrics // nil disables metrics
+	// Link is the network link of this instance, which responses to callers take too; nil if unknown.
+	Link         *thwire.Link
 	Headers      *Headers                // nil means the default names
 	Accounts     func() *thaccount.Table // table of the accounts in effect; nil means that requests need no key
 	AccountStats *thaccount.Stats        // nil counts no calls of accounts
--- a/thproxy/local.go
+++ b/thproxy/local.go
@@ -110,6 +110,7 @@
 	a.writeHead()
 	n, err := a.call.writer.Write(p)
 	a.written += int64(n)
+	a.call.Link.Add(n, thwire.IsLarge(max(a.contentLength, a.written)))
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		return therror.Wrap(therror.Cancelled, err, "write to the caller")
 	}
