Set the incarnation of a node under its mutex

Cause: a component that starts before the node reads the record of this daemon, while Start set its incarnation without the mutex. The race detector reported it in a run with the detector in the daemons (thsync.Follower). What callers saw: nothing that is known.

Evidence: TestSelfIsReadWhileTheNodeStarts; with the race detector it failed before, and passed 20 of 20 after.

--- a/thmember/node.go
+++ b/thmember/node.go
@@ -123,10 +123,10 @@
 	if n.Seed == 0 {
 		n.Seed = rand.Uint64()
 	}
+	n.mu.Lock()
 	if n.Member.Incarnation == 0 {
 		n.Member.Incarnation = uint64(n.Clock.Now().UnixNano()) //nolint:forbidigo // orders processes
 	}
-	n.mu.Lock()
 	n.random = rand.New(rand.NewPCG(n.Seed, 0))
 	n.state.init()
 	n.links, n.onDemand, n.outboxes = map[string]*link{}, map[string]*link{}, map[string]*outbox{}
