--- a/thadmit/shares_test.go
+++ b/thadmit/shares_test.go
@@ -72,7 +72,7 @@
 				m.request(l, named, l.repeats)
 			}
 		}
-		m.collect(named)
+		m.collect()
 	}
 	shares := map[string]float64{}
 	for name, n := range m.new {
@@ -118,7 +118,7 @@
 }
 
 // collect starts the queued requests that were admitted, and repeats those that were rejected.
-func (m *accountModel) collect(named bool) {
+func (m *accountModel) collect() {
 	waiting := m.waiting
 	m.waiting = nil
 	for _, r := range waiting {
--- a/thconfig/account_test.go
+++ b/thconfig/account_test.go
@@ -30,9 +30,13 @@
 func TestAccountNamesAndKeysAreFieldValues(t *testing.T) {
 	const secret = "secret"
 	for _, c := range []struct{ name, key, want string }{
-		{"", secret, `account ""`}, {" a", secret, `account " a"`}, {"a\r\nX: y", secret, `account "a\r\nX: y"`},
+		{"", secret, `account ""`},
+		{" a", secret, `account " a"`},
+		{"a\r\nX: y", secret, `account "a\r\nX: y"`},
 		{strings.Repeat("a", MaxAccountName+1), secret, "account"},
-		{"a", "", `account "a": key 2`}, {"a", secret + "\n", `account "a": key 2`}, {"a", secret + " ", `account "a": key 2`},
+		{"a", "", `account "a": key 2`},
+		{"a", secret + "\n", `account "a": key 2`},
+		{"a", secret + " ", `account "a": key 2`},
 		{"a", strings.Repeat(secret, MaxKeyLength), `account "a": key 2`},
 	} {
 		_, err := NewAccount(c.name, []string{"first", c.key}, 0)
--- a/thconfig/compare.go
+++ b/thconfig/compare.go
@@ -30,8 +30,9 @@
 func configEntries(c *Config) []configEntry {
 	list := make([]configEntry, 0, len(c.Routes)+len(c.Services)+1)
 	for _, r := range c.Routes {
-		var parts []string
-		for _, p := range r.WeightedPools() {
+		pools := r.WeightedPools()
+		parts := make([]string, 0, len(pools))
+		for _, p := range pools {
 			parts = append(parts, fmt.Sprintf("%s:%d", p.Pool, p.Weight))
 		}
 		list = append(list, configEntry{fmt.Sprintf("route %q", r.Name), []namedValue{
