thwire: wait for a whole session in the test of idle closes

Traced: the dialer has two sessions; one that was being dialled while the test broke the others is broken by the peer too, after the test has seen none open, and the next call gets it. The test calls until a call succeeds, with a limit of time; a broken session that stays still fails it.

--- a/thwire/dialer_test.go
+++ b/thwire/dialer_test.go
@@ -111,8 +111,11 @@
 		}
 		return open() == 0
 	})
-	_, _, err = exchange(t.Context(), d, p.address, "r", []byte("x"))
-	assert.NilError(t, err)
+	// A session that was being dialled meanwhile may have been broken by the peer too.
+	eventually(t, "no session replaces the broken ones", func() bool {
+		_, _, err = exchange(t.Context(), d, p.address, "r", []byte("x"))
+		return err == nil
+	})
 }
 
 // Guards against a daemon that dials an unreachable peer again for each call.
