Wait longer for a peer whose network link is busy

Cause: replies to pings wait behind responses on other connections of the same link, and 0.9 s without a frame count as silence.

Change: the time that the peer states for its link extends both limits, by 2 s at most. Peers that state none are handled as before.

--- a/thwire/session.go
+++ b/thwire/session.go
@@ -39,7 +39,8 @@
 	goingAway     atomic.Bool  // this side accepts no new streams
 	started       time.Time    // of the session
 	pinged        atomic.Int64 // ns from started to the first ping of answersPing without a frame since; zero without one
-	silent        atomic.Bool  // the peer was silent for silenceTimeout; no new streams are opened
+	silent        atomic.Bool  // the peer was silent for too long; no new streams are opened
+	linkWait      atomic.Int64 // ns for which the peer's network link is busy, as it last stated; at most maxLinkSilence
 
 	mutex           sync.Mutex
 	streams         map[uint32]sessionStream
--- a/thwire/silence.go
+++ b/thwire/silence.go
@@ -19,12 +19,23 @@
 	// stallPingDelay is how long a peer with streams in progress may send nothing before the
 	// next call is sent with a ping.
 	stallPingDelay = 150 * time.Millisecond
+	// maxLinkSilence bounds the time by which a busy network link of the peer extends the two
+	// timeouts above: its replies wait behind responses on other connections.
+	maxLinkSilence = 2 * time.Second
 	// silentPeerPause is how long a peer is not dialled again after its silence.
 	silentPeerPause = time.Second
 )
 
+// adoptLinkWait adopts how long the peer's link is busy, as its load states it.
+func (s *Session) adoptLinkWait(l *Load) {
+	s.linkWait.Store(int64(min(l.LinkTime(), maxLinkSilence)))
+}
+
+// peerLinkWait returns the time that a reply of the peer may wait for its link.
+func (s *Session) peerLinkWait() time.Duration { return time.Duration(s.linkWait.Load()) }
+
 // keepalive pings a silent peer while streams are in progress, and calls handleSilence
-// while the peer has been silent for silenceTimeout.
+// while the peer has been silent for silenceTimeout, or longer if its link is busy.
 func (s *Session) keepalive() {
 	defer s.loops.Done()
 	t := s.clock.NewTicker(pingInterval)
@@ -46,7 +57,7 @@
 			active = true
 		}
 		silence := thclock.Since(s.lastRead.Load(), now)
-		if silence > silenceTimeout {
+		if silence > silenceTimeout+s.peerLinkWait() {
 			s.handleSilence(therror.New(therror.Broken, "peer silent for %s", silence))
 			continue
 		}
@@ -66,7 +77,7 @@
 	now := s.clock.Now()
 	elapsed := now.Sub(s.started)
 	if pinged := time.Duration(s.pinged.Load()); pinged > 0 {
-		return elapsed-pinged < stallTimeout
+		return elapsed-pinged < stallTimeout+s.peerLinkWait()
 	}
 	if thclock.Since(s.lastRead.Load(), now) >= stallPingDelay && s.pinged.CompareAndSwap(0, int64(max(elapsed, 1))) {
 		s.sendLater(TypePing, Ping{})
--- a/thwire/stream.go
+++ b/thwire/stream.go
@@ -71,6 +71,7 @@
 	s.end, s.load, s.remoteEnded = e, &e.Load, true
 	s.endWrites()
 	s.mutex.Unlock()
+	s.session.adoptLinkWait(&e.Load)
 	s.session.removeEnded(s)
 	signal(s.readable)
 	return nil
@@ -87,6 +88,7 @@
 		k = therror.Broken // the response had started, so the call has run
 	}
 	s.mutex.Unlock()
+	s.session.adoptLinkWait(&r.Load)
 	s.session.remove(s.id)
 	s.fail(therror.New(k, "%s", r.Message).WithRetryAfter(time.Duration(r.Retry)))
 }
