Limit the deadlines of calls at a stopping daemon to its end

Cause: calls that arrive before the end of the notice are accepted whatever their deadline is, and targets queued them up to it.

Change: from the signal on, attempts have a deadline of 0.3 s before the end of the daemon at the latest. The queues of the target reject what can't be served by then, and the caller gets 503, which is true.

--- a/thdaemon/daemon.go
+++ b/thdaemon/daemon.go
@@ -86,6 +86,7 @@
 	usage            *usage      // nil without reports of usage
 	fleetJoined      atomic.Bool // members were found, or joinTimeout has passed
 	draining         atomic.Bool
+	stopsAt          atomic.Int64 // thclock.Stamp of when a stopping daemon ends; zero until the signal
 	endsAt           atomic.Int64 // thclock.Stamp of when a stopping daemon ends; zero until the end of the notice
 	zoneOut          atomic.Bool
 	failed           chan error
@@ -255,7 +256,7 @@
 	d.ingress = &thproxy.Ingress{
 		Self: d.Settings.Daemon.Name, Router: d.router, Mover: d.mover,
 		Balancer: balancer{d.balancer}, Dialer: d.dialer, Local: d.target, Ready: func() bool { return d.replica.Ready() },
-		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft, Link: d.link,
+		Metrics: metrics{d.metrics}, Clock: d.Clock, Log: d.Log.Named("ingress"), TimeLeft: d.timeLeft, EndsIn: d.endsIn, Link: d.link,
 	}
 	d.ingressServer = d.newIngressServer()
 	d.crashStore = &crashStore{Daemon: d, waiting: make(chan thwire.CrashRecord, maxWaitingCrashRecords)}
--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -94,10 +94,20 @@
 	return -thclock.Since(end, d.Clock.Now()), true
 }
 
+// endsIn returns the time until the end of a stopping daemon, from the signal on.
+func (d *Daemon) endsIn() (time.Duration, bool) {
+	end := d.stopsAt.Load()
+	if end == 0 {
+		return 0, false
+	}
+	return -thclock.Since(end, d.Clock.Now()), true
+}
+
 // stop drains the daemon: it notifies the fleet, waits for the notice to spread,
 // and then waits up to gracePeriod for calls in progress to complete.
 func (d *Daemon) stop(ctx context.Context) {
 	d.Log.Info("daemon stops", "notice", d.Settings.Stop.Notice, "grace", gracePeriod(d.Settings.Stop))
+	d.stopsAt.Store(thclock.Stamp(d.Clock.Now().Add(d.Settings.Stop.Notice + gracePeriod(d.Settings.Stop))))
 	d.draining.Store(true)
 	d.ingressServer.Drain()
 	d.node.Leave()
--- a/thproxy/attempt.go
+++ b/thproxy/attempt.go
@@ -305,7 +305,7 @@
 func (c *call) dispatch(choice Choice, start time.Time, result *Result) error {
 	m, o := choice.Member(), c.open
 	if d, ok := c.ctx.Deadline(); ok {
-		o.Deadline = max(int64(time.Until(d)), 1)
+		o.Deadline = max(int64(c.beforeEnd(time.Until(d))), 1)
 	}
 	o.Header = o.Header[:c.baseHeaderCount:c.baseHeaderCount]
 	if name := headersOrDefault(c.Headers).Attempt; name != "" {
@@ -340,6 +340,21 @@
 	return err
 }
 
+// endMargin is the time that a stopping daemon needs to pass on the last responses.
+const endMargin = 300 * time.Millisecond
+
+// beforeEnd limits the time that is left for an attempt to what a stopping daemon can wait. A call
+// that is still queued at a target then is rejected as not run, in place of being cut.
+func (c *call) beforeEnd(left time.Duration) time.Duration {
+	if c.EndsIn == nil {
+		return left
+	}
+	if end, stopping := c.EndsIn(); stopping {
+		return min(left, end-endMargin)
+	}
+	return left
+}
+
 // reportLeaving calls OnLeaving if the backend server of the member states in a response that
 // it is leaving. The daemon beside it may end before the other daemons have learned that.
 func (c *call) reportLeaving(m *thwire.Member, head *thwire.Head) {
--- a/thproxy/ingress.go
+++ b/thproxy/ingress.go
@@ -132,6 +132,9 @@
 	// TimeLeft returns the time until this daemon ends; false while it does not stop, or
 	// still accepts all calls. It may be nil.
 	TimeLeft func() (time.Duration, bool)
+	// EndsIn returns the time until this daemon ends, from the signal to stop on; false while it
+	// does not stop. It may be nil.
+	EndsIn func() (time.Duration, bool)
 	// OnLeaving is called with the member whose backend server states in a response that it
 	// is leaving; it may be nil.
 	OnLeaving func(m *thwire.Member)
