Leave the context of the withdrawal alone at a stop

Cause: the stop assigned its grace context to the variable that the goroutines for the withdrawal and for the lease of the usage reports read. On a busy machine a goroutine that starts late would have had the shorter context. The first goroutine had this fault before, the second made it show.

Change: the grace period has a context of its own. TestWholePath with -raced fails before and passes now.

--- a/thdaemon/stop.go
+++ b/thdaemon/stop.go
@@ -117,12 +117,12 @@
 	d.work.Go(func() { d.usage.yield(ctx, d.Settings.Stop.Notice+gracePeriod(d.Settings.Stop)) })
 	d.Clock.Sleep(d.Settings.Stop.Notice)
 	d.endsAt.Store(thclock.Stamp(d.Clock.Now().Add(gracePeriod(d.Settings.Stop))))
-	ctx, cancel := context.WithTimeout(ctx, gracePeriod(d.Settings.Stop))
+	grace, cancel := context.WithTimeout(ctx, gracePeriod(d.Settings.Stop))
 	defer cancel()
-	if err := errors.Join(d.ingressServer.Shutdown(ctx), d.http2Server.Shutdown(ctx)); err != nil {
+	if err := errors.Join(d.ingressServer.Shutdown(grace), d.http2Server.Shutdown(grace)); err != nil {
 		d.Log.Warn("calls cut at the end of the grace time", "error", err)
 	}
-	for d.sessions.active() > 0 && ctx.Err() == nil {
+	for d.sessions.active() > 0 && grace.Err() == nil {
 		d.Clock.Sleep(drainPollInterval)
 	}
 	if n := d.sessions.active(); n > 0 {
