--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# A new address of the store in the settings is not taken.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves
+# out the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/stage2 ] && [ -x target/turmerichaven ] || exit 2
+exec target/review/stage2 moved review/9/record.txt
