--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -25,6 +25,8 @@
 	graceTime   = 6 * time.Second
 	applyTime   = 2 * time.Second
 	beatTime    = 1500 * time.Millisecond
+	answerTime  = 4 * time.Millisecond // of the store
+	coldTime    = 3 * time.Second      // of a server that starts during the traffic
 	// restartDelay is the pause between the end of a process and its next start.
 	restartDelay = 500 * time.Millisecond
 )
@@ -46,6 +48,7 @@
 	network  string // first three bytes of the machines' addresses
 	store    *storeStandin
 	machines []*machine
+	serving  bool // the traffic has begun: the system starts no more for the first time
 }
 
 // machine is a daemon process and what stands beside it.
@@ -117,7 +120,7 @@
 func (m *machine) fields() map[string]string {
 	return map[string]string{
 		"node": m.name, "zone": m.zone, "region": "hokkaido", "ip": m.ip,
-		"bootstrap":       fmt.Sprint(m.starts == 0),
+		"bootstrap":       fmt.Sprint(m.starts == 0 && !m.fleet.serving),
 		"listen.outbound": m.at(portOutbound), "listen.control": m.at(portControl), "listen.ready": m.at(portReady),
 		"port_range.0": fmt.Sprint(portPeer), "provider.address": m.door.address(),
 		"service": m.service, "app_addr": m.at(portApp), "limits.link_mbps": "1000.0", "limits.memory_mb": "284",
@@ -261,11 +264,26 @@
 		return nil, err
 	}
 	s := &storeStandin{rows: &thstandin.RowStore{}, address: l.Addr().String()}
-	s.server = &http.Server{Handler: s.rows, ReadHeaderTimeout: 10 * time.Second}
+	s.rows.SetFaults(thstandin.RowStoreFaults{Latency: answerTime})
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// ServeHTTP answers a call, without the header that the pages in force don't name.
+func (s *storeStandin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.rows.ServeHTTP(&plainWriter{w}, r)
+}
+
+// plainWriter leaves out the header Store-Era.
+type plainWriter struct{ http.ResponseWriter }
+
+// WriteHeader writes the head of an answer.
+func (w *plainWriter) WriteHeader(status int) {
+	w.Header().Del("Store-Era")
+	w.ResponseWriter.WriteHeader(status)
+}
+
 func (s *storeStandin) close() { _ = s.server.Close() }
 
 // put writes a row of the operator.
--- a/review/stage2/left.go
+++ b/review/stage2/left.go
@@ -8,11 +8,10 @@
 )
 
 const (
-	hostView, pathView   = "jepu9.example", "/lepu270/"
-	hostBook, pathBook   = "hulo84.example", "/xapu221/ny95/"
-	hostBoard, pathBoard = "lopu12.example", "/hucu512/"
-	serviceView          = "huvo11a"
-	serviceBook          = "wuno96b"
+	hostView, pathView = "jepu9.example", "/lepu270/"
+	hostBook, pathBook = "hulo84.example", "/xapu221/ny95/"
+	serviceView        = "huvo11a"
+	serviceBook        = "wuno96b"
 )
 
 // configuration returns a configuration with a safe route and an unsafe one, like that of the
@@ -20,11 +19,10 @@
 func configuration(version int, timeout float64) string {
 	return fmt.Sprintf(`{"version":%d,"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15},
 "listeners":[{"host":"%s","routing_rules":[{"name":"r-book","kind":"unsafe","target_latency_s":0.6,"priority":1,"match":{"prefix":"%s"},"action":{"service":"%s","timeout_s":%g,"max_attempts":2}}]},
-{"host":"%s","routing_rules":[{"name":"r-view","kind":"safe","target_latency_s":0.5,"priority":2,"match":{"prefix":"%s"},"action":{"service":"%s","timeout_s":%g,"max_attempts":2}}]},
-{"host":"%s","routing_rules":[{"name":"r-board","kind":"safe","target_latency_s":0.5,"priority":2,"match":{"prefix":"%s"},"action":{"service":"%s","timeout_s":%g,"max_attempts":2}}]}],
+{"host":"%s","routing_rules":[{"name":"r-view","kind":"safe","target_latency_s":0.5,"priority":2,"match":{"prefix":"%s"},"action":{"service":"%s","timeout_s":%g,"max_attempts":2}}]}],
 "clusters":[{"name":"%s","health_path":"/health","max_connections":110,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":18.0},
 {"name":"%s","health_path":"/health","max_connections":110,"protocol":"h1","tls":false,"cold_start_s":3.0,"cold_per_s":18.0}]}`,
-		version, hostBook, pathBook, serviceBook, timeout, hostView, pathView, serviceView, timeout, hostBoard, pathBoard, serviceBook, timeout, serviceView, serviceBook)
+		version, hostBook, pathBook, serviceBook, timeout, hostView, pathView, serviceView, timeout, serviceView, serviceBook)
 }
 
 // deploy starts two machines of each service in two zones with their backend servers, and waits
@@ -51,6 +49,7 @@
 	if err := f.awaitReady(f.machines, 15*time.Second); err != nil {
 		return nil, err
 	}
+	f.serving = true
 	return all, sleep(f.ctx, 8*time.Second)
 }
 
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -23,7 +23,6 @@
 var cases = map[string]func(*fleet, bool) (int, error){
 	"left":   caseLeft,
 	"unread": caseUnread,
-	"beside": caseBeside,
 	"moved":  caseMoved,
 }
 
--- a/review/stage2/upstream.go
+++ b/review/stage2/upstream.go
@@ -28,15 +28,20 @@
 	mutex    sync.Mutex
 	running  int
 	sequence int
-	state    string // of heartbeats; none are sent while it is empty
+	state    string    // of heartbeats; none are sent while it is empty
+	warm     time.Time // until then the server is cold
+	leaving  bool
 	server   *http.Server
 	gone     bool
-	breaks   float64 // share of the answers that are broken off
+	fails    float64 // share of the requests that fail
 }
 
 // startUpstream starts a backend server beside the daemon of a machine.
 func startUpstream(m *machine, id, version string, work time.Duration) (*upstream, error) {
 	u := &upstream{machine: m, id: id, version: version, slots: 18, work: work, born: time.Now().UnixMilli(), state: "ready"}
+	if m.fleet.serving {
+		u.warm = time.Now().Add(coldTime)
+	}
 	l, err := net.Listen("tcp", m.at(portApp)) //nolint:noctx // closed by end
 	if err != nil {
 		return nil, err
@@ -78,7 +83,7 @@
 	b, _ := json.Marshal(map[string]any{
 		"address": u.machine.at(portApp), "born": u.born,
 		"info":   map[string]any{"service": u.machine.service, "version": u.version, "zone": u.machine.zone, "slots": u.slots},
-		"status": map[string]any{"state": state, "sequence": u.sequence, "cold_remaining_s": 0},
+		"status": map[string]any{"state": state, "sequence": u.sequence, "cold_remaining_s": max(0, time.Until(u.warm).Seconds())},
 	})
 	return b
 }
@@ -104,22 +109,27 @@
 // deregister tells that the server leaves, as the first and last word about it.
 func (u *upstream) deregister() (bool, error) {
 	u.mutex.Lock()
-	u.state = ""
+	u.state, u.leaving = "", true
 	u.mutex.Unlock()
 	return u.say("Deregister", fmt.Appendf(nil, `{"born":%d}`, u.born))
 }
 
-// setBreaks sets the share of the answers that are broken off in the middle of the body.
-func (u *upstream) setBreaks(share float64) {
+// setFails sets the share of the requests that fail.
+func (u *upstream) setFails(share float64) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	u.breaks = share
+	u.fails = share
 }
 
 // ServeHTTP runs a request.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	h := w.Header()
+	if id == "" {
+		h.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	h["X-Request-Id"] = []string{id}
 	h.Set("X-Instance-Id", u.id)
 	body, err := io.ReadAll(r.Body)
@@ -135,10 +145,16 @@
 	if !full {
 		u.running++
 	}
-	running := u.running
+	running, leaving, work := u.running, u.leaving, u.work
+	if time.Now().Before(u.warm) {
+		work *= 2
+	}
 	u.mutex.Unlock()
+	if leaving {
+		h.Set("Connection", "close")
+	}
 	h.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", running, u.slots))
-	if full || id == "" {
+	if full {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -149,7 +165,7 @@
 		u.mutex.Unlock()
 	}()
 	u.machine.fleet.record.ran(u, id, r, body)
-	timer := time.NewTimer(u.work)
+	timer := time.NewTimer(work)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -161,13 +177,10 @@
 	h.Set("X-Server-Stamp", u.id+"."+id)
 	h.Set("Content-Length", strconv.Itoa(len(answer)))
 	u.mutex.Lock()
-	breaks := rand.Float64() < u.breaks
+	fails := rand.Float64() < u.fails
 	u.mutex.Unlock()
-	if breaks {
-		u.machine.fleet.record.printf("breaks %s at %s", id, u.id)
-		_, _ = w.Write(answer[:len(answer)/2])
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
+	if fails {
+		w.WriteHeader(http.StatusInternalServerError)
 	}
 	_, _ = w.Write(answer)
 }
