--- a/review/stage2/fleet.go
+++ b/review/stage2/fleet.go
@@ -64,6 +64,7 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	starts  int
+	out     []span // in which the machine was not in touch
 }
 
 func (m *machine) at(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
--- a/review/stage2/main.go
+++ b/review/stage2/main.go
@@ -21,9 +21,11 @@
 )
 
 var cases = map[string]func(*fleet, bool) (int, error){
-	"left":   caseLeft,
-	"unread": caseUnread,
-	"moved":  caseMoved,
+	"left":      caseLeft,
+	"unread":    caseUnread,
+	"withdrawn": caseWithdrawn,
+	"replaced":  caseReplaced,
+	"moved":     caseMoved,
 }
 
 func main() { os.Exit(play()) }
